--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target sets itself up; see README.md.
+PACKAGES := core runtime entry agent standins
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
+CHECKED := $(SOURCES) measures tests tools
+PYTHON := .venv/bin/python
+space := $(subst ,, )
+export PYTHONPATH := $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source))):$(CURDIR)
+export PATH := $(CURDIR)/.venv/bin:$(PATH)
+
+.PHONY: setup demo up test format check measure
+
+setup: .venv/installed
+
+.venv/installed: requirements.lock
+	test -x $(PYTHON) || python3.11 -m venv .venv
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach package,$(PACKAGES),-e packages/$(package))
+	touch $@
+
+demo: setup
+	@$(PYTHON) tools/demo.py
+
+up: setup
+	@$(PYTHON) tools/demo.py --keep-running
+
+test: check
+	$(PYTHON) -m pytest
+
+check: setup
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m flake8 $(CHECKED)
+	$(PYTHON) -m mypy $(CHECKED)
+
+format: setup
+	$(PYTHON) -m ruff format .
+
+measure: setup
+	$(PYTHON) -m measures all
--- /dev/null
+++ b/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the system; ``python -m measures NAME --json``."""
--- /dev/null
+++ b/measures/registry.py
@@ -0,0 +1,14 @@
+"""All measures by name."""
+
+import types
+from collections import abc
+
+from measures import reports, request_path
+
+Measure = abc.Callable[[int], reports.Report]
+
+MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
+    {
+        'request_path': request_path.measure,
+    },
+)
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent that stands before each endpoint."""
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -0,0 +1,209 @@
+"""Runs requests on the endpoint and sends its answers to the entry."""
+
+import logging
+
+import attrs
+import curio
+
+from camphorstair_agent import event_stream
+from camphorstair_core import admission, messages, verdicts
+from camphorstair_runtime import (
+    http_client,
+    http_messages,
+    links,
+    metrics,
+    node,
+)
+
+_LOG = logging.getLogger(__name__)
+_EVENT_STREAM = 'text/event-stream'
+_MS_IN_S = 1000
+
+
+@attrs.define
+class Relay:
+    """What the agent needs to run requests.
+
+    :ivar state: The state of this process.
+    :ivar address: ``IP:port`` of the endpoint.
+    :ivar gate: The admission.
+    :ivar instruments: The metrics.
+    """
+
+    state: node.NodeState
+    address: str
+    gate: admission.Admission
+    instruments: metrics.Instruments
+
+    async def run(
+        self,
+        link: links.Link,
+        start: messages.RequestStart,
+    ) -> None:
+        """Admit or refuse a request, and run it."""
+        self.instruments.requests.add(1)
+        code = admission.refusal(self.gate)
+        if code is not None:
+            self.instruments.refusals.add(1)
+            await link.send(self._refused(start, code))
+            return
+        admission.start(self.gate)
+        whole = False
+        try:
+            whole = await self._run_admitted(link, start)
+        finally:
+            admission.finish(self.gate, whole=whole)
+
+    async def _run_admitted(
+        self,
+        link: links.Link,
+        start: messages.RequestStart,
+    ) -> bool:
+        remaining_s = start.remaining_ms / _MS_IN_S
+        async with curio.TaskGroup(wait=any) as group:
+            work = await group.spawn(
+                curio.timeout_after,
+                remaining_s,
+                self._exchange,
+                link,
+                start,
+            )
+            await group.spawn(link.wait_closed)
+        if work.cancelled:
+            _LOG.info(
+                'the entry gave the request up',
+                extra={'request_id': start.request_id},
+            )
+            raise links.LinkError('the entry closed the link')
+        if work.exception is None:
+            return True
+        await self._report_failure(link, start, work.exception)
+        return False
+
+    async def _exchange(
+        self,
+        link: links.Link,
+        start: messages.RequestStart,
+    ) -> None:
+        request = http_messages.Request(
+            start.method,
+            start.path,
+            _headers(start),
+            start.body,
+        )
+        exchange = await http_client.open_exchange(self.address, request)
+        try:
+            await self._copy(link, start, exchange)
+        finally:
+            await exchange.close()
+
+    async def _copy(
+        self,
+        link: links.Link,
+        start: messages.RequestStart,
+        exchange: http_client.Exchange,
+    ) -> None:
+        await link.send(
+            messages.ResponseHead(
+                start.request_id,
+                start.attempt,
+                exchange.status,
+                http_messages.end_to_end(exchange.headers),
+                self.gate.load(),
+            ),
+        )
+        sequence = await _copy_body(link, start, exchange)
+        await link.send(
+            messages.ResponseEnd(
+                start.request_id,
+                start.attempt,
+                sequence,
+                self.gate.load(),
+            ),
+        )
+
+    async def _report_failure(
+        self,
+        link: links.Link,
+        start: messages.RequestStart,
+        error: BaseException,
+    ) -> None:
+        verdict = _verdict(error)
+        _LOG.warning(
+            'endpoint failed: %r',
+            error,
+            extra={'request_id': start.request_id, 'verdict': verdict.value},
+        )
+        if isinstance(error, links.LinkError):
+            raise error
+        await link.send(
+            messages.ResponseFailed(
+                start.request_id,
+                start.attempt,
+                verdict,
+                _code(error),
+                str(error) or type(error).__name__,
+                self.gate.load(),
+            ),
+        )
+
+    def _refused(
+        self,
+        start: messages.RequestStart,
+        code: str,
+    ) -> messages.RequestRefused:
+        name = self.state.identity.name
+        return messages.RequestRefused(
+            request_id=start.request_id,
+            code=code,
+            message=f'endpoint {name} takes no request now',
+            retry_after_ms=round(admission.RETRY_AFTER_S * _MS_IN_S),
+            load=self.gate.load(),
+            revision=self.state.holder.revision(),
+        )
+
+
+def _headers(start: messages.RequestStart) -> http_messages.HeaderList:
+    headers = [*start.headers, ('x-request-id', start.request_id)]
+    if start.after_event:
+        headers.append(('last-event-id', str(start.after_event)))
+    return headers
+
+
+async def _copy_body(
+    link: links.Link,
+    start: messages.RequestStart,
+    exchange: http_client.Exchange,
+) -> int:
+    kind = http_messages.header(exchange.headers, 'content-type')
+    cutter = event_stream.EventCutter()
+    sequence = 0
+    chunk = await exchange.read()
+    while chunk is not None:
+        if kind.startswith(_EVENT_STREAM):
+            chunk = cutter.cut(chunk)
+        if chunk:
+            sequence += 1
+            await link.send(
+                messages.ResponseChunk(
+                    start.request_id,
+                    start.attempt,
+                    sequence,
+                    cutter.last_event,
+                    chunk,
+                ),
+            )
+        chunk = await exchange.read()
+    return sequence
+
+
+def _verdict(error: BaseException) -> verdicts.Verdict:
+    if isinstance(error, http_client.HttpError) and not error.sent:
+        return verdicts.Verdict.not_run
+    return verdicts.Verdict.may_have_run
+
+
+def _code(error: BaseException) -> str:
+    if isinstance(error, curio.TaskTimeout):
+        return 'deadline_exceeded'
+    return 'endpoint_failed'
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -0,0 +1,126 @@
+"""Runs the agent: ``python -m camphorstair_agent.serving FILE``."""
+
+import logging
+import pathlib
+import random
+import sys
+
+import attrs
+import curio
+
+from camphorstair_agent import relay
+from camphorstair_core import admission, vms
+from camphorstair_runtime import (
+    following,
+    logs,
+    metrics,
+    node,
+    peers,
+    platform,
+    security,
+    settings,
+    signals,
+)
+
+DRAIN_INTERVAL_S = 0.05
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define
+class Agent:
+    """All state of an agent process."""
+
+    checked: settings.AgentSettings
+    state: node.NodeState
+    gate: admission.Admission
+
+    def refresh(self) -> None:
+        """Take over the limits and outages of the rules in force."""
+        rule_set = self.state.holder.rule_set
+        name = self.state.identity.name
+        service = self.checked.endpoint.service
+        limits = rule_set.endpoints.get(name) or rule_set.services.get(service)
+        if limits is not None:
+            admission.set_limits(
+                self.gate,
+                limits.in_flight,
+                limits.cold_in_flight,
+            )
+        self.gate.out = (
+            name in rule_set.endpoints_out
+            or self.state.identity.data_centre in rule_set.data_centres_out
+        )
+        self.state.load = self.gate.load()
+
+
+def build(checked: settings.AgentSettings) -> Agent:
+    """Return the state of an agent that has not started."""
+    state = node.NodeState(checked.node, vms.VmRole.agent)
+    state.link_context = security.client_context(checked.security)
+    return Agent(checked, state, admission.Admission())
+
+
+async def run(agent: Agent) -> None:
+    """Serve until a termination signal, then finish what runs."""
+    terminated = signals.watch()
+    checked = agent.checked
+    runner = relay.Relay(
+        agent.state,
+        checked.endpoint.address,
+        agent.gate,
+        metrics.set_up(checked.node.name),
+    )
+    server = peers.PeerServer(
+        agent.state,
+        checked.endpoint.service,
+        runner.run,
+    )
+    follower = following.Follower(
+        agent.state,
+        platform.PlatformClient(checked.platform.key_value),
+        checked.platform.vm_list,
+        agent.refresh,
+        random.Random(checked.node.name),
+    )
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(
+            curio.tcp_server(
+                *settings.split_address(checked.listen.peers),
+                server.serve,
+                ssl=security.peers_context(checked.security),
+            ),
+        )
+        await group.spawn(follower.run)
+        _LOG.info('listening', extra={'peers': checked.listen.peers})
+        await terminated.recv(1)
+        await _drain(agent)
+        await group.cancel_remaining()
+
+
+async def _drain(agent: Agent) -> None:
+    agent.state.leaving = True
+    agent.gate.leaving = True
+    limit_s = agent.checked.shutdown.limit_s
+    _LOG.info('shutting down', extra={'in_flight': agent.gate.in_flight})
+    async with curio.ignore_after(limit_s):
+        while agent.gate.in_flight:
+            await curio.sleep(DRAIN_INTERVAL_S)
+    if agent.gate.in_flight:
+        _LOG.error(
+            'shutdown limit of %s s reached',
+            limit_s,
+            extra={'in_flight': agent.gate.in_flight},
+        )
+    _LOG.info('stopped')
+
+
+def main(path: str) -> None:
+    """Run the agent with the settings of a file."""
+    checked = settings.load(pathlib.Path(path), settings.AgentSettings)
+    logs.set_up(checked.node.name, checked.logging.level)
+    curio.run(run, build(checked))
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/core/src/camphorstair_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the load balancer, without I/O."""
--- /dev/null
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -0,0 +1,133 @@
+"""The entry's table of endpoints and the systems that run over it."""
+
+import random
+
+import attrs
+
+from camphorstair_core import messages, rules, vms
+
+EJECTION_S = 5.0
+LOAD_AGE_LIMIT_S = 2.0
+
+
+@attrs.define
+class Endpoint:
+    """An endpoint as one entry sees it.
+
+    :ivar vm: Its VM.
+    :ivar load: The last load that its agent reported.
+    :ivar load_deadline_s: When that report is too old to count.
+    :ivar own_in_flight: Requests of this entry that it works on.
+    :ivar failures: Failed attempts since the last that went well.
+    :ivar ejected_deadline_s: Until when it is not chosen.
+    :ivar leaving: Whether its agent said that it shuts down.
+    :ivar out: Whether the rules take it, or its data centre, out.
+    """
+
+    vm: vms.Vm
+    load: messages.LoadReport = attrs.field(factory=messages.LoadReport)
+    load_deadline_s: float = 0
+    own_in_flight: int = 0
+    failures: int = 0
+    ejected_deadline_s: float = 0
+    leaving: bool = False
+    out: bool = False
+
+    def available(self, now_s: float) -> bool:
+        """Tell whether new work may go to the endpoint."""
+        gone = self.leaving or self.out
+        return not gone and now_s >= self.ejected_deadline_s
+
+    def pressure(self, now_s: float) -> float:
+        """Return its load as a share of its limit, own requests included."""
+        in_flight = self.own_in_flight
+        if now_s < self.load_deadline_s:
+            in_flight = max(in_flight, self.load.in_flight + self.load.queued)
+        return (in_flight + 1) / max(1, self.load.limit)
+
+
+@attrs.define
+class EndpointTable:
+    """All endpoints that an entry knows, by name."""
+
+    rows: dict[str, Endpoint] = attrs.field(factory=dict)
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service."""
+        return [row for row in self.rows.values() if row.vm.service == service]
+
+
+def update_vms(table: EndpointTable, listed: list[vms.Vm]) -> None:
+    """Bring the table in line with the VM list.
+
+    :param table: The table; rows of VMs that are gone are removed.
+    :param listed: All VMs of the list.
+    """
+    agents = {vm.name: vm for vm in listed if vm.role is vms.VmRole.agent}
+    for name in set(table.rows) - set(agents):
+        table.rows.pop(name)
+    for vm in agents.values():
+        row = table.rows.setdefault(vm.name, Endpoint(vm))
+        row.vm = vm
+        row.leaving = vm.state is vms.VmState.leaving
+
+
+def apply_rules(table: EndpointTable, rule_set: rules.RuleSet) -> None:
+    """Mark the endpoints that the rules take out.
+
+    :param table: The table.
+    :param rule_set: The rules in force.
+    """
+    for row in table.rows.values():
+        row.out = (
+            row.vm.data_centre in rule_set.data_centres_out
+            or row.vm.name in rule_set.endpoints_out
+        )
+
+
+def choose(
+    table: EndpointTable,
+    service: str,
+    tried: set[str],
+    now_s: float,
+    generator: random.Random,
+) -> Endpoint | None:
+    """Choose an endpoint by the power of two choices.
+
+    :param table: The table.
+    :param service: The service that the request is for.
+    :param tried: Names of endpoints that refused this request.
+    :param now_s: The time.
+    :param generator: Source of the two picks.
+    :returns: The endpoint, or None if none is available.
+    """
+    candidates = [
+        row
+        for row in table.of_service(service)
+        if row.available(now_s) and row.vm.name not in tried
+    ]
+    if not candidates:
+        return None
+    picked = generator.sample(candidates, min(2, len(candidates)))
+    return min(picked, key=lambda row: row.pressure(now_s))
+
+
+def note_load(
+    endpoint: Endpoint,
+    load: messages.LoadReport,
+    now_s: float,
+) -> None:
+    """Keep a load report that came with an answer."""
+    endpoint.load = load
+    endpoint.load_deadline_s = now_s + LOAD_AGE_LIMIT_S
+
+
+def note_success(endpoint: Endpoint) -> None:
+    """Forget earlier failures after an answer that went well."""
+    endpoint.failures = 0
+
+
+def note_failure(endpoint: Endpoint, now_s: float) -> None:
+    """Eject an endpoint for a while after a failed attempt."""
+    endpoint.failures += 1
+    endpoint.ejected_deadline_s = now_s + EJECTION_S
--- /dev/null
+++ b/packages/core/src/camphorstair_core/errors.py
@@ -0,0 +1,73 @@
+"""Errors with a stable code, a verdict and the time to come back."""
+
+import http
+
+import attrs
+
+from camphorstair_core import verdicts
+
+
+@attrs.define(frozen=True)
+class ErrorCode:
+    """A stable error code and the HTTP status that goes with it."""
+
+    name: str
+    status: int
+
+
+bad_request = ErrorCode('bad_request', http.HTTPStatus.BAD_REQUEST)
+too_large = ErrorCode('too_large', http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+head_too_large = ErrorCode(
+    'head_too_large',
+    http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+)
+timeout = ErrorCode('request_timeout', http.HTTPStatus.REQUEST_TIMEOUT)
+unauthorized = ErrorCode('unauthorized', http.HTTPStatus.UNAUTHORIZED)
+unknown_organisation = ErrorCode(
+    'unknown_organisation',
+    http.HTTPStatus.FORBIDDEN,
+)
+unknown_path = ErrorCode('unknown_path', http.HTTPStatus.NOT_FOUND)
+unknown_model = ErrorCode('unknown_model', http.HTTPStatus.NOT_FOUND)
+organisation_limit = ErrorCode(
+    'organisation_limit',
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+)
+overloaded = ErrorCode('overloaded', http.HTTPStatus.SERVICE_UNAVAILABLE)
+no_endpoint = ErrorCode('no_endpoint', http.HTTPStatus.SERVICE_UNAVAILABLE)
+no_configuration = ErrorCode(
+    'no_configuration',
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+leaving = ErrorCode('leaving', http.HTTPStatus.SERVICE_UNAVAILABLE)
+endpoint_failed = ErrorCode('endpoint_failed', http.HTTPStatus.BAD_GATEWAY)
+answer_broken = ErrorCode('answer_broken', http.HTTPStatus.BAD_GATEWAY)
+deadline_exceeded = ErrorCode(
+    'deadline_exceeded',
+    http.HTTPStatus.GATEWAY_TIMEOUT,
+)
+may_have_run = ErrorCode('may_have_run', http.HTTPStatus.BAD_GATEWAY)
+internal_error = ErrorCode(
+    'internal_error',
+    http.HTTPStatus.INTERNAL_SERVER_ERROR,
+)
+
+
+@attrs.define
+class RequestError(Exception):
+    """A request that ends without the answer of an endpoint.
+
+    :ivar code: The stable code and its HTTP status.
+    :ivar message: What is wrong, naming the offending value.
+    :ivar verdict: Whether the request may have run.
+    :ivar retry_after_s: When trying again helps, the wait before it.
+    """
+
+    code: ErrorCode
+    message: str
+    verdict: verdicts.Verdict = verdicts.Verdict.not_run
+    retry_after_s: float | None = None
+
+    def __str__(self) -> str:
+        """Return the code and the message."""
+        return f'{self.code.name}: {self.message}'
--- /dev/null
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -0,0 +1,207 @@
+"""Messages between the processes of the system.
+
+Every message is an attrs class; ``KINDS`` gives the number that stands for it
+on the wire. A number is never used for a second class.
+"""
+
+import types
+
+import attrs
+
+from camphorstair_core import verdicts
+
+
+@attrs.define
+class LoadReport:
+    """The load of an endpoint as its agent sees it.
+
+    :ivar in_flight: Requests that the endpoint works on.
+    :ivar limit: Requests that it may work on now.
+    :ivar queued: Requests that wait at the agent.
+    :ivar cold: Whether the endpoint is below its full limit.
+    """
+
+    in_flight: int = 0
+    limit: int = 0
+    queued: int = 0
+    cold: bool = True
+
+
+@attrs.define
+class Hello:
+    """First message of a connection and heartbeat; the reply is one as well.
+
+    :ivar node: The sender's name.
+    :ivar data_centre: The sender's data centre.
+    :ivar revision: The configuration revision in force at the sender.
+    :ivar leaving: Whether the sender shuts down.
+    :ivar load: The load, if the sender is an agent.
+    """
+
+    node: str
+    data_centre: str
+    revision: int
+    leaving: bool = False
+    load: LoadReport | None = None
+
+
+@attrs.define
+class ConfigurationRequest:
+    """Asks for the configuration if it is newer than a revision."""
+
+    above_revision: int
+
+
+@attrs.define
+class ConfigurationReply:
+    """The configuration in force at the sender.
+
+    :ivar revision: Its revision; 0 if the sender has none.
+    :ivar change_id: The identifier of the change that made it.
+    :ivar text: The rules, or None if the asker's copy is as new.
+    """
+
+    revision: int
+    change_id: str = ''
+    text: str | None = None
+
+
+@attrs.define
+class RequestStart:
+    """A caller's request, for the endpoint behind an agent.
+
+    :ivar request_id: Identifier of the request, the same in every attempt.
+    :ivar attempt: Number of the attempt, from 1.
+    :ivar service: The service that the request is for.
+    :ivar organisation: The caller's organisation.
+    :ivar priority: 0 (low) to 2 (high).
+    :ivar idempotent: Whether a second run does no harm.
+    :ivar idempotency_key: The caller's key, if it gave one.
+    :ivar method: HTTP method.
+    :ivar path: HTTP path with query.
+    :ivar headers: HTTP headers that go on to the endpoint.
+    :ivar body: HTTP body.
+    :ivar remaining_ms: Time left until the caller's deadline.
+    :ivar after_event: Number of the last event the caller has; 0 for none.
+    :ivar revision: The configuration revision in force at the entry.
+    """
+
+    request_id: str
+    attempt: int
+    service: str
+    organisation: str
+    priority: int
+    idempotent: bool
+    idempotency_key: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    remaining_ms: int
+    after_event: int = 0
+    revision: int = 0
+
+
+@attrs.define
+class RequestRefused:
+    """The agent's refusal; nothing reached the endpoint."""
+
+    request_id: str
+    code: str
+    message: str
+    retry_after_ms: int
+    load: LoadReport
+    revision: int = 0
+
+
+@attrs.define
+class ResponseHead:
+    """Start of the endpoint's answer."""
+
+    request_id: str
+    attempt: int
+    status: int
+    headers: list[tuple[str, str]]
+    load: LoadReport
+
+
+@attrs.define
+class ResponseChunk:
+    """A part of the endpoint's answer.
+
+    :ivar sequence: Number of the part in this attempt, from 1.
+    :ivar last_event: Number of the last event it holds; 0 if not a stream.
+    :ivar body: The bytes.
+    """
+
+    request_id: str
+    attempt: int
+    sequence: int
+    last_event: int
+    body: bytes
+
+
+@attrs.define
+class ResponseEnd:
+    """Explicit end of a whole answer.
+
+    :ivar sequence: Number of parts that came before.
+    """
+
+    request_id: str
+    attempt: int
+    sequence: int
+    load: LoadReport
+
+
+@attrs.define
+class ResponseFailed:
+    """The endpoint's answer can't be completed."""
+
+    request_id: str
+    attempt: int
+    verdict: verdicts.Verdict
+    code: str
+    message: str
+    load: LoadReport
+
+
+@attrs.define
+class StatusRequest:
+    """Asks a process for its state."""
+
+
+@attrs.define
+class NodeStatus:
+    """State of a process.
+
+    :ivar role: ``entry`` or ``agent``.
+    :ivar service: The service behind an agent, else empty.
+    """
+
+    node: str
+    role: str
+    data_centre: str
+    revision: int
+    leaving: bool
+    load: LoadReport
+    service: str = ''
+    memory_bytes: int = 0
+    processor_s: float = 0
+
+
+KINDS = types.MappingProxyType(
+    {
+        1: Hello,
+        2: ConfigurationRequest,
+        3: ConfigurationReply,
+        4: RequestStart,
+        5: RequestRefused,
+        6: ResponseHead,
+        7: ResponseChunk,
+        8: ResponseEnd,
+        9: ResponseFailed,
+        10: StatusRequest,
+        11: NodeStatus,
+    },
+)
--- /dev/null
+++ b/packages/core/src/camphorstair_core/tokens.py
@@ -0,0 +1,36 @@
+"""Callers' tokens: an organisation's name and a signature over it."""
+
+import hashlib
+import hmac
+
+from camphorstair_core import errors
+
+
+def issue(key: bytes, organisation: str) -> str:
+    """Return the token of an organisation.
+
+    :param key: The secret key of the fleet.
+    :param organisation: The organisation's name.
+    """
+    return f'{organisation}.{_signature(key, organisation)}'
+
+
+def organisation_of(key: bytes, header: str) -> str:
+    """Return the organisation that an Authorization header proves.
+
+    :param key: The secret key of the fleet.
+    :param header: The header's value.
+    :raises errors.RequestError: if the token is missing or wrong.
+    """
+    scheme, _, token = header.partition(' ')
+    organisation, _, signature = token.strip().rpartition('.')
+    expected = _signature(key, organisation)
+    genuine = hmac.compare_digest(signature.encode(), expected.encode())
+    if scheme.lower() != 'bearer' or not organisation or not genuine:
+        message = 'the Authorization header holds no valid token'
+        raise errors.RequestError(errors.unauthorized, message)
+    return organisation
+
+
+def _signature(key: bytes, organisation: str) -> str:
+    return hmac.new(key, organisation.encode(), hashlib.sha256).hexdigest()
--- /dev/null
+++ b/packages/entry/src/camphorstair/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node and the operators' command line."""
--- /dev/null
+++ b/packages/entry/src/camphorstair/callers.py
@@ -0,0 +1,223 @@
+"""Answers callers' HTTP requests."""
+
+import http
+import logging
+import uuid
+
+import attrs
+import curio
+import msgspec
+
+from camphorstair import attempts, entry_state, forwarding
+from camphorstair_core import (
+    directory,
+    errors,
+    messages,
+    routing,
+    tokens,
+    verdicts,
+    vms,
+)
+from camphorstair_runtime import clocks, http_messages, http_server, metrics
+
+DEFAULT_LIMIT_S = 120.0
+ENTRIES_PATH = '/v1/entries'
+_IDENTIFIER_BITS = 128
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define
+class _ModelName:
+    model: str
+
+
+@attrs.define
+class Callers:
+    """Handles the requests of callers.
+
+    :ivar entry: The entry's state.
+    """
+
+    entry: entry_state.Entry
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answer one request; every failure becomes an answer too."""
+        response = self._own_answer(request)
+        if response is not None:
+            await responder.respond(response)
+            return
+        async with curio.TaskGroup(wait=any) as group:
+            work = await group.spawn(self._forward, request, responder)
+            await group.spawn(responder.wait_disconnected)
+        if work.cancelled:
+            raise http_server.Disconnected('the caller is gone')
+        if work.exception is not None:
+            await _report(work.exception, responder)
+
+    def _own_answer(
+        self,
+        request: http_messages.Request,
+    ) -> http_messages.Response | None:
+        if request.path == '/healthz':
+            return self._health()
+        if request.path == '/metrics':
+            headers = [('content-type', 'text/plain; version=0.0.4')]
+            body = metrics.exposition()
+            return http_messages.Response(http.HTTPStatus.OK, headers, body)
+        if request.path == ENTRIES_PATH:
+            return self._entries(request)
+        return None
+
+    def _health(self) -> http_messages.Response:
+        state = self.entry.state
+        ready = state.holder.current is not None and not state.leaving
+        status = http.HTTPStatus.OK
+        if not ready:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        return http_messages.json_response(status, state.hello())
+
+    def _entries(
+        self,
+        request: http_messages.Request,
+    ) -> http_messages.Response:
+        state = self.entry.state
+        serving = [
+            vm
+            for vm in state.listed
+            if vm.role is vms.VmRole.entry
+            and not (state.leaving and vm.name == state.identity.name)
+        ]
+        place = request.header('x-camphorstair-data-centre')
+        answer = directory.answer(
+            serving,
+            place or state.identity.data_centre,
+            self.entry.directory_serial,
+            clocks.epoch_s(),
+        )
+        self.entry.directory_serial += 1
+        return http_messages.json_response(http.HTTPStatus.OK, answer)
+
+    async def _forward(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        organisation = tokens.organisation_of(
+            self.entry.token_key,
+            request.header('authorization'),
+        )
+        decision = self._decide(request, organisation)
+        self._check_limit(organisation)
+        start = self._start_message(request, organisation, decision)
+        self.entry.instruments.requests.add(1)
+        in_flight = self.entry.in_flight
+        in_flight[organisation] = in_flight.get(organisation, 0) + 1
+        try:
+            await forwarding.Forwarding(
+                self.entry,
+                start,
+                attempts.Answer(responder),
+                clocks.monotonic_s() + DEFAULT_LIMIT_S,
+            ).run()
+        finally:
+            in_flight[organisation] -= 1
+            if not in_flight[organisation]:
+                in_flight.pop(organisation)
+
+    def _decide(
+        self,
+        request: http_messages.Request,
+        organisation: str,
+    ) -> routing.Decision:
+        if self.entry.state.holder.current is None:
+            raise errors.RequestError(
+                errors.no_configuration,
+                'no configuration has reached this entry',
+                retry_after_s=forwarding.RETRY_AFTER_S,
+            )
+        return routing.decide(
+            self.entry.state.holder.rule_set,
+            organisation,
+            request.method,
+            request.path,
+            _model(request),
+        )
+
+    def _check_limit(self, organisation: str) -> None:
+        rule_set = self.entry.state.holder.rule_set
+        limit = rule_set.organisations[organisation].in_flight
+        if self.entry.in_flight.get(organisation, 0) >= limit:
+            raise errors.RequestError(
+                errors.organisation_limit,
+                f'organisation {organisation} has {limit} requests in flight',
+                retry_after_s=forwarding.RETRY_AFTER_S,
+            )
+
+    def _start_message(
+        self,
+        request: http_messages.Request,
+        organisation: str,
+        decision: routing.Decision,
+    ) -> messages.RequestStart:
+        return messages.RequestStart(
+            request_id=uuid.UUID(
+                int=self.entry.generator.getrandbits(_IDENTIFIER_BITS),
+                version=4,
+            ).hex,
+            attempt=1,
+            service=decision.service.name,
+            organisation=organisation,
+            priority=int(decision.priority),
+            idempotent=decision.idempotent,
+            idempotency_key=request.header('idempotency-key'),
+            method=request.method,
+            path=request.target,
+            headers=_passed_on(request),
+            body=request.body,
+            remaining_ms=0,
+            revision=self.entry.state.holder.revision(),
+        )
+
+
+def _passed_on(request: http_messages.Request) -> http_messages.HeaderList:
+    headers = http_messages.end_to_end(request.headers)
+    return [pair for pair in headers if pair[0] != 'authorization']
+
+
+def _model(request: http_messages.Request) -> str | None:
+    if request.path != routing.COMPLETIONS_PATH:
+        return None
+    try:
+        return msgspec.json.decode(request.body, type=_ModelName).model
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise errors.RequestError(
+            errors.bad_request,
+            f'the body is no chat completion request: {fault}',
+        ) from fault
+
+
+async def _report(
+    failure: BaseException,
+    responder: http_server.Responder,
+) -> None:
+    if isinstance(failure, http_server.Disconnected):
+        raise failure
+    error = failure
+    if not isinstance(error, errors.RequestError):
+        _LOG.error('request failed', exc_info=failure)
+        error = errors.RequestError(
+            errors.internal_error,
+            type(failure).__name__,
+            verdicts.Verdict.may_have_run,
+        )
+    if not responder.started:
+        await responder.respond(http_messages.error_response(error))
+        return
+    body = msgspec.json.encode(http_messages.envelope(error))
+    await responder.send(b''.join((b'data: ', body, b'\n\n')))
+    raise http_server.Disconnected('a started answer can not be completed')
--- /dev/null
+++ b/packages/entry/src/camphorstair/entry_state.py
@@ -0,0 +1,48 @@
+"""All state of an entry process."""
+
+import random
+
+import attrs
+
+from camphorstair import link_pool
+from camphorstair_core import endpoints, retries
+from camphorstair_runtime import metrics, node, settings
+
+
+@attrs.define
+class Entry:
+    """State of an entry.
+
+    :ivar checked: The settings.
+    :ivar state: What every process has.
+    :ivar token_key: The key that signs callers' tokens.
+    :ivar pool: Links to agents.
+    :ivar instruments: The metrics.
+    :ivar generator: Source of random choices.
+    :ivar table: The endpoints.
+    :ivar budget: The retries that may still be made.
+    :ivar in_flight: Requests in progress by organisation.
+    :ivar directory_serial: Number of the last directory answer.
+    """
+
+    checked: settings.EntrySettings
+    state: node.NodeState
+    token_key: bytes
+    pool: link_pool.LinkPool
+    instruments: metrics.Instruments
+    generator: random.Random
+    table: endpoints.EndpointTable = attrs.field(
+        factory=endpoints.EndpointTable,
+    )
+    budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    directory_serial: int = 0
+
+    def refresh(self) -> None:
+        """Take over a new VM list or new rules."""
+        endpoints.update_vms(self.table, self.state.listed)
+        endpoints.apply_rules(self.table, self.state.holder.rule_set)
+
+    def requests_in_flight(self) -> int:
+        """Return how many requests are in progress."""
+        return sum(self.in_flight.values())
--- /dev/null
+++ b/packages/entry/src/camphorstair/link_pool.py
@@ -0,0 +1,41 @@
+"""Links to agents that wait for their next request."""
+
+import typing
+
+import attrs
+
+from camphorstair_core import vms
+from camphorstair_runtime import links, settings
+
+CONNECT_LIMIT_S = 1.0
+IDLE_LINKS = 8
+
+
+@attrs.define
+class LinkPool:
+    """Idle links by the name of the agent's VM.
+
+    :ivar context: TLS context of links to peers, or None.
+    """
+
+    context: typing.Any
+    idle: dict[str, list[links.Link]] = attrs.field(factory=dict)
+
+    async def take(self, vm: vms.Vm) -> links.Link:
+        """Return a link to an agent that nothing else uses.
+
+        :raises links.LinkError: if the agent can't be reached.
+        """
+        kept = self.idle.get(vm.name)
+        if kept:
+            return kept.pop()
+        host, port = settings.split_address(vm.peers_address)
+        return await links.connect(host, port, self.context, CONNECT_LIMIT_S)
+
+    async def give_back(self, vm: vms.Vm, link: links.Link) -> None:
+        """Keep a link whose last exchange is complete."""
+        kept = self.idle.setdefault(vm.name, [])
+        if len(kept) < IDLE_LINKS:
+            kept.append(link)
+            return
+        await link.close()
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes share: settings, logs, HTTP, links, the platform."""
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/http_messages.py
@@ -0,0 +1,113 @@
+"""HTTP requests and answers as the processes hand them on."""
+
+import attrs
+import msgspec
+
+from camphorstair_core import errors
+
+HeaderList = list[tuple[str, str]]
+
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'host',
+        'content-length',
+        'expect',
+    ),
+)
+
+
+@attrs.define
+class Request:
+    """A request whose body has come whole.
+
+    :ivar target: Path and query as sent.
+    :ivar headers: Headers with lower-case names.
+    """
+
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition('?')[0]
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header, or an empty string."""
+        return header(self.headers, name)
+
+
+@attrs.define
+class Response:
+    """An answer that is sent whole."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+def header(headers: HeaderList, name: str) -> str:
+    """Return the first value of a header, or an empty string.
+
+    :param headers: Headers with lower-case names.
+    :param name: The name in lower case.
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return ''
+
+
+def end_to_end(headers: HeaderList) -> HeaderList:
+    """Return the headers without those of one connection only."""
+    return [pair for pair in headers if pair[0] not in _HOP_BY_HOP]
+
+
+def json_response(status: int, payload: object) -> Response:
+    """Return an answer with a JSON body."""
+    headers = [('content-type', 'application/json')]
+    return Response(status, headers, msgspec.json.encode(payload))
+
+
+@attrs.define(frozen=True)
+class ErrorBody:
+    """The error in the form that callers' libraries know."""
+
+    code: str
+    message: str
+    verdict: str
+    type: str = 'camphorstair_error'
+
+
+@attrs.define(frozen=True)
+class ErrorEnvelope:
+    """Holds the error in a JSON body."""
+
+    error: ErrorBody
+
+
+def envelope(error: errors.RequestError) -> ErrorEnvelope:
+    """Return the JSON body of an error."""
+    return ErrorEnvelope(
+        ErrorBody(error.code.name, error.message, error.verdict.value),
+    )
+
+
+def error_response(error: errors.RequestError) -> Response:
+    """Return the answer that tells a caller of an error."""
+    response = json_response(error.code.status, envelope(error))
+    response.headers.append(('x-camphorstair-verdict', error.verdict.value))
+    if error.retry_after_s is not None:
+        seconds = max(1, round(error.retry_after_s))
+        response.headers.append(('retry-after', str(seconds)))
+    return response
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -0,0 +1,262 @@
+"""The HTTP/1.1 server side, by h11 on curio."""
+
+import http
+import logging
+import socket
+from collections import abc
+
+import attrs
+import curio
+import h11
+
+from camphorstair_core import errors
+from camphorstair_runtime import http_messages
+
+MAX_HEAD_BYTES = 32768
+MAX_BODY_BYTES = 4194304
+READ_BYTES = 65536
+REQUEST_LIMIT_S = 20.0
+IDLE_LIMIT_S = 75.0
+DRAIN_LIMIT_S = 2.0
+
+_LOG = logging.getLogger(__name__)
+
+ResponderHandler = abc.Callable[
+    [http_messages.Request, 'Responder'],
+    abc.Awaitable[None],
+]
+
+
+class Disconnected(Exception):
+    """The caller is gone."""
+
+
+@attrs.define
+class Responder:
+    """Sends the answer to one request.
+
+    :ivar sock: The caller's socket.
+    :ivar protocol: The state of its HTTP connection.
+    :ivar started: Whether the head of the answer was sent.
+    :ivar closing: Whether the connection ends after this answer.
+    """
+
+    sock: curio.io.Socket
+    protocol: h11.Connection
+    started: bool = False
+    closing: bool = False
+
+    async def start(
+        self,
+        status: int,
+        headers: http_messages.HeaderList,
+    ) -> None:
+        """Send the head of the answer."""
+        self.started = True
+        sent = list(headers)
+        if self.closing:
+            sent.append(('connection', 'close'))
+        reason = http.HTTPStatus(status).phrase
+        await self._send(
+            h11.Response(status_code=status, headers=sent, reason=reason),
+        )
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(h11.Data(data=chunk))
+
+    async def finish(self) -> None:
+        """Send the end of the answer."""
+        await self._send(h11.EndOfMessage())
+
+    async def respond(self, response: http_messages.Response) -> None:
+        """Send a whole answer."""
+        length = ('content-length', str(len(response.body)))
+        await self.start(response.status, [*response.headers, length])
+        await self.send(response.body)
+        await self.finish()
+
+    async def wait_disconnected(self) -> None:
+        """Return when the caller closes the connection."""
+        while True:
+            chunk = await self.sock.recv(READ_BYTES)
+            self.protocol.receive_data(chunk)
+            if not chunk:
+                return
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            await self.sock.sendall(self.protocol.send(event) or b'')
+        except OSError as error:
+            raise Disconnected(str(error)) from error
+
+
+@attrs.define
+class Server:
+    """State of a listener.
+
+    :ivar handler: Answers one request.
+    :ivar closing: Whether connections end after their request.
+    :ivar idle: Tasks that wait for the next request on a kept connection.
+    """
+
+    handler: ResponderHandler
+    closing: bool = False
+    idle: set[curio.Task] = attrs.field(factory=set)
+
+    async def serve(self, sock: curio.io.Socket, address: object) -> None:
+        """Answer the requests of one connection."""
+        protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=MAX_HEAD_BYTES,
+        )
+        try:
+            async with sock:
+                await self._serve(sock, protocol)
+        except (OSError, Disconnected):
+            _LOG.debug('connection ended')
+
+    async def close_idle(self) -> None:
+        """End the connections on which no request runs."""
+        self.closing = True
+        for task in list(self.idle):
+            await task.cancel(blocking=False)
+
+    async def _serve(
+        self,
+        sock: curio.io.Socket,
+        protocol: h11.Connection,
+    ) -> None:
+        while not self.closing:
+            if not await self._wait_request(sock, protocol):
+                return
+            responder = Responder(sock, protocol)
+            await self._serve_request(responder)
+            if not _reusable(protocol):
+                await _drain(sock)
+                return
+            protocol.start_next_cycle()
+
+    async def _wait_request(
+        self,
+        sock: curio.io.Socket,
+        protocol: h11.Connection,
+    ) -> bool:
+        if protocol.trailing_data[0]:
+            return True
+        task = await curio.current_task()
+        self.idle.add(task)
+        try:
+            chunk = await curio.timeout_after(
+                IDLE_LIMIT_S,
+                sock.recv,
+                READ_BYTES,
+            )
+        except curio.TaskTimeout:
+            chunk = b''
+        finally:
+            self.idle.discard(task)
+        protocol.receive_data(chunk)
+        return bool(chunk)
+
+    async def _serve_request(self, responder: Responder) -> None:
+        try:
+            request = await curio.timeout_after(
+                REQUEST_LIMIT_S,
+                _read_request,
+                responder,
+            )
+        except curio.TaskTimeout:
+            await _refuse(
+                responder,
+                errors.RequestError(
+                    errors.timeout,
+                    f'the request did not come whole in {REQUEST_LIMIT_S} s',
+                ),
+            )
+            return
+        except errors.RequestError as error:
+            await _refuse(responder, error)
+            return
+        except h11.RemoteProtocolError as fault:
+            await _refuse(responder, _protocol_fault(fault))
+            return
+        responder.closing = self.closing
+        await self.handler(request, responder)
+
+
+async def _read_request(responder: Responder) -> http_messages.Request:
+    head = await next_event(responder.sock, responder.protocol)
+    if not isinstance(head, h11.Request):
+        raise Disconnected('no request')
+    if responder.protocol.they_are_waiting_for_100_continue:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        await responder.sock.sendall(responder.protocol.send(go_on) or b'')
+    return http_messages.Request(
+        head.method.decode(),
+        _text(head.target),
+        [(_text(name), _text(value)) for name, value in head.headers],
+        await _read_body(responder),
+    )
+
+
+async def _read_body(responder: Responder) -> bytes:
+    body = bytearray()
+    event = await next_event(responder.sock, responder.protocol)
+    while isinstance(event, h11.Data):
+        body.extend(event.data)
+        if len(body) > MAX_BODY_BYTES:
+            message = f'the body is longer than {MAX_BODY_BYTES} bytes'
+            raise errors.RequestError(errors.too_large, message)
+        event = await next_event(responder.sock, responder.protocol)
+    if not isinstance(event, h11.EndOfMessage):
+        raise Disconnected('half a request')
+    return bytes(body)
+
+
+def _text(raw: bytes) -> str:
+    return raw.decode('latin-1')
+
+
+async def next_event(
+    sock: curio.io.Socket,
+    protocol: h11.Connection,
+) -> object:
+    """Return the next event of a connection, reading as needed."""
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        protocol.receive_data(await sock.recv(READ_BYTES))
+
+
+def _protocol_fault(fault: h11.RemoteProtocolError) -> errors.RequestError:
+    status = fault.error_status_hint
+    code = errors.bad_request
+    if status == http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+        code = errors.head_too_large
+    return errors.RequestError(code, str(fault))
+
+
+async def _refuse(responder: Responder, error: errors.RequestError) -> None:
+    """Answer a request that can't be read, and end the connection."""
+    if responder.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    responder.closing = True
+    await responder.respond(http_messages.error_response(error))
+
+
+def _reusable(protocol: h11.Connection) -> bool:
+    return (protocol.our_state, protocol.their_state) == (h11.DONE, h11.DONE)
+
+
+async def _drain(sock: curio.io.Socket) -> None:
+    """Read what still comes, so that the answer is not lost to a reset."""
+    try:
+        await sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        return
+    async with curio.ignore_after(DRAIN_LIMIT_S):
+        chunk = await sock.recv(READ_BYTES)
+        while chunk:
+            chunk = await sock.recv(READ_BYTES)
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/metrics.py
@@ -0,0 +1,42 @@
+"""Metrics by OpenTelemetry, readable by Prometheus."""
+
+import attrs
+import prometheus_client
+from opentelemetry import metrics as metrics_api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as metrics_sdk
+from opentelemetry.sdk import resources
+
+
+@attrs.define
+class Instruments:
+    """What the processes count."""
+
+    requests: metrics_api.Counter
+    refusals: metrics_api.Counter
+    retries: metrics_api.Counter
+    dropped_parts: metrics_api.Counter
+
+
+def set_up(node: str) -> Instruments:
+    """Start the collection of metrics.
+
+    :param node: The node's name, a label of each metric.
+    """
+    provider = metrics_sdk.MeterProvider(
+        metric_readers=[prometheus.PrometheusMetricReader()],
+        resource=resources.Resource({'service.instance.id': node}),
+        shutdown_on_exit=False,
+    )
+    meter = provider.get_meter('camphorstair')
+    return Instruments(
+        requests=meter.create_counter('camphorstair_requests'),
+        refusals=meter.create_counter('camphorstair_refusals'),
+        retries=meter.create_counter('camphorstair_retries'),
+        dropped_parts=meter.create_counter('camphorstair_dropped_parts'),
+    )
+
+
+def exposition() -> bytes:
+    """Return all metrics in the text format of Prometheus."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/node.py
@@ -0,0 +1,42 @@
+"""State that every process of the system has."""
+
+import typing
+
+import attrs
+
+from camphorstair_core import configuration, messages, vms
+from camphorstair_runtime import settings
+
+
+@attrs.define
+class NodeState:
+    """What a process knows of itself, the others and the configuration.
+
+    :ivar identity: Its name and place.
+    :ivar role: What it is for.
+    :ivar link_context: TLS context of links to peers, or None.
+    :ivar holder: The configuration in force.
+    :ivar listed: The last VM list.
+    :ivar leaving: Whether it shuts down.
+    :ivar load: Its load, for status and heartbeats.
+    """
+
+    identity: settings.Node
+    role: vms.VmRole
+    link_context: typing.Any = None
+    holder: configuration.ConfigurationHolder = attrs.field(
+        factory=configuration.ConfigurationHolder,
+    )
+    listed: list[vms.Vm] = attrs.field(factory=list)
+    leaving: bool = False
+    load: messages.LoadReport = attrs.field(factory=messages.LoadReport)
+
+    def hello(self) -> messages.Hello:
+        """Return the heartbeat of this process."""
+        return messages.Hello(
+            node=self.identity.name,
+            data_centre=self.identity.data_centre,
+            revision=self.holder.revision(),
+            leaving=self.leaving,
+            load=self.load,
+        )
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/vm_list.py
@@ -0,0 +1,43 @@
+"""The platform's list of VMs, read by HTTP."""
+
+import attrs
+import curio
+import msgspec
+
+from camphorstair_core import vms
+from camphorstair_runtime import http_client
+
+READ_LIMIT_S = 2.0
+
+
+class VmListError(Exception):
+    """The list can't be read."""
+
+
+@attrs.define
+class VmList:
+    """The list as the platform sends it."""
+
+    vms: list[vms.Vm]
+
+
+async def read(address: str) -> list[vms.Vm]:
+    """Return all VMs.
+
+    :param address: ``IP:port`` of the list.
+    :raises VmListError: if it does not answer or is not readable.
+    """
+    try:
+        response = await curio.timeout_after(
+            READ_LIMIT_S,
+            http_client.fetch_json,
+            address,
+            '/v1/vms',
+        )
+        return msgspec.json.decode(response.body, type=VmList).vms
+    except (
+        http_client.HttpError,
+        curio.TaskTimeout,
+        msgspec.DecodeError,
+    ) as error:
+        raise VmListError(f'{address}: {error!r}') from error
--- /dev/null
+++ b/packages/standins/src/camphorstair_standins/engine.py
@@ -0,0 +1,181 @@
+"""Stand-in for a model engine that streams and resumes.
+
+``python -m camphorstair_standins.engine IP:port [SETTINGS as JSON]``
+
+The text depends on the prompt alone, so that any engine can go on with a
+stream that another one began.
+"""
+
+import http
+import sys
+import typing
+
+import attrs
+import curio
+import msgspec
+
+from camphorstair_runtime import http_messages, http_server
+from camphorstair_standins import serving
+
+_WORDS = ('permit', 'gate', 'yard', 'access', 'summary', 'crew', 'report')
+
+
+@attrs.define
+class EngineSettings:
+    """How the engine behaves.
+
+    :ivar tokens: Tokens of each answer.
+    :ivar token_interval_s: Time between tokens.
+    :ivar cold_bearable: Requests in flight that it bears while cold.
+    :ivar warm_bearable: Requests in flight that it bears when warm.
+    :ivar warm_after: Whole answers after which it is warm.
+    """
+
+    tokens: int = 20
+    token_interval_s: float = 0.01
+    cold_bearable: int = 2
+    warm_bearable: int = 8
+    warm_after: int = 8
+
+
+@attrs.define
+class Engine:
+    """State of the engine.
+
+    :ivar in_flight: Requests that it works on.
+    :ivar answered: Whole answers so far.
+    :ivar over_limit: Requests that came when it bore no more.
+    :ivar cancelled: Streams that the client gave up.
+    """
+
+    behaviour: EngineSettings
+    in_flight: int = 0
+    answered: int = 0
+    over_limit: int = 0
+    cancelled: int = 0
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answer one request."""
+        if request.path == '/stats':
+            await responder.respond(
+                http_messages.json_response(http.HTTPStatus.OK, self),
+            )
+            return
+        self.in_flight += 1
+        if self.in_flight > self._bearable():
+            self.over_limit += 1
+        whole = False
+        try:
+            await self._complete(request, responder)
+            whole = True
+        finally:
+            self._note_end(whole=whole)
+
+    def _note_end(self, *, whole: bool) -> None:
+        self.in_flight -= 1
+        if whole:
+            self.answered += 1
+        else:
+            self.cancelled += 1
+
+    def _bearable(self) -> int:
+        if self.answered >= self.behaviour.warm_after:
+            return self.behaviour.warm_bearable
+        return self.behaviour.cold_bearable
+
+    async def _complete(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        payload = msgspec.json.decode(request.body)
+        after_event = int(request.header('last-event-id') or 0)
+        if payload.get('stream'):
+            await self._stream(request, responder, after_event)
+            return
+        words = []
+        for number in range(self.behaviour.tokens):
+            await curio.sleep(self.behaviour.token_interval_s)
+            words.append(_word(request.body, number))
+        body = _completion(payload, ' '.join(words))
+        await responder.respond(
+            http_messages.json_response(http.HTTPStatus.OK, body),
+        )
+
+    async def _stream(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+        after_event: int,
+    ) -> None:
+        payload = msgspec.json.decode(request.body)
+        headers = [('content-type', 'text/event-stream')]
+        await responder.start(http.HTTPStatus.OK, headers)
+        for number in range(after_event, self.behaviour.tokens):
+            await curio.sleep(self.behaviour.token_interval_s)
+            text = _word(request.body, number)
+            chunk = _chunk(payload, f'{text} ', None)
+            await responder.send(_event(number + 1, chunk))
+        total = self.behaviour.tokens
+        if after_event <= total:
+            last = _chunk(payload, '', 'stop')
+            await responder.send(_event(total + 1, last))
+        await responder.send(_event(total + 2, b'[DONE]'))
+        await responder.finish()
+
+
+def _word(prompt: bytes, number: int) -> str:
+    seed = sum(prompt) + number * number
+    return _WORDS[seed % len(_WORDS)]
+
+
+def _event(number: int, body: bytes) -> bytes:
+    return b'id: %d\ndata: %b\n\n' % (number, body)
+
+
+def _chunk(
+    payload: dict[str, typing.Any],
+    text: str,
+    finish: str | None,
+) -> bytes:
+    delta = {'role': 'assistant', 'content': text}
+    choice = {'index': 0, 'delta': delta, 'finish_reason': finish}
+    return msgspec.json.encode(
+        {
+            'id': 'completion',
+            'object': 'chat.completion.chunk',
+            'created': 0,
+            'model': payload.get('model'),
+            'choices': [choice],
+        },
+    )
+
+
+def _completion(
+    payload: dict[str, typing.Any],
+    text: str,
+) -> dict[str, typing.Any]:
+    message = {'role': 'assistant', 'content': text}
+    choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+    return {
+        'id': 'completion',
+        'object': 'chat.completion',
+        'created': 0,
+        'model': payload.get('model'),
+        'choices': [choice],
+    }
+
+
+def main() -> None:
+    """Run the engine."""
+    text = sys.argv[2] if len(sys.argv) > 2 else '{}'
+    behaviour = msgspec.json.decode(text, type=EngineSettings)
+    serving.run(sys.argv[1], Engine(behaviour).handle)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/camphorstair_standins/plain.py
@@ -0,0 +1,53 @@
+"""Stand-in for a plain service that books yards.
+
+``python -m camphorstair_standins.plain IP:port``
+"""
+
+import http
+import sys
+
+import attrs
+import curio
+
+from camphorstair_runtime import http_messages, http_server
+from camphorstair_standins import serving
+
+BOOKING_S = 0.02
+
+
+@attrs.define
+class Booked:
+    """The answer to a booking."""
+
+    booking: int
+    request_id: str
+
+
+@attrs.define
+class PlainService:
+    """State of the service.
+
+    :ivar runs: How often each request ran, by its identifier.
+    """
+
+    runs: dict[str, int] = attrs.field(factory=dict)
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Book on POST; return the runs on GET."""
+        payload: object = self.runs
+        if request.method == 'POST':
+            identifier = request.header('x-request-id')
+            self.runs[identifier] = self.runs.get(identifier, 0) + 1
+            await curio.sleep(BOOKING_S)
+            payload = Booked(len(self.runs), identifier)
+        await responder.respond(
+            http_messages.json_response(http.HTTPStatus.OK, payload),
+        )
+
+
+if __name__ == '__main__':
+    serving.run(sys.argv[1], PlainService().handle)
--- /dev/null
+++ b/packages/standins/src/camphorstair_standins/serving.py
@@ -0,0 +1,27 @@
+"""Runs a stand-in's HTTP server until it is terminated."""
+
+import curio
+
+from camphorstair_runtime import http_server, settings, signals
+
+
+async def _run(address: str, handler: http_server.ResponderHandler) -> None:
+    terminated = signals.watch()
+    server = http_server.Server(handler)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(
+            curio.tcp_server,
+            *settings.split_address(address),
+            server.serve,
+        )
+        await terminated.recv(1)
+        await group.cancel_remaining()
+
+
+def run(address: str, handler: http_server.ResponderHandler) -> None:
+    """Serve until SIGTERM.
+
+    :param address: ``IP:port`` to listen on.
+    :param handler: Answers one request.
+    """
+    curio.run(_run, address, handler)
--- /dev/null
+++ b/packages/standins/src/camphorstair_standins/vm_list.py
@@ -0,0 +1,36 @@
+"""Stand-in for the VM list.
+
+``python -m camphorstair_standins.vm_list IP:port``; a POST replaces the list.
+"""
+
+import http
+import sys
+
+import attrs
+
+from camphorstair_runtime import http_messages, http_server
+from camphorstair_standins import serving
+
+
+@attrs.define
+class ListHolder:
+    """The list as JSON."""
+
+    body: bytes = b'{"vms":[]}'
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Return or replace the list."""
+        if request.method == 'POST':
+            self.body = request.body
+        headers = [('content-type', 'application/json')]
+        await responder.respond(
+            http_messages.Response(http.HTTPStatus.OK, headers, self.body),
+        )
+
+
+if __name__ == '__main__':
+    serving.run(sys.argv[1], ListHolder().handle)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,87 @@
+"""Admission, answers, configuration and verdicts."""
+
+import pytest
+
+from camphorstair_core import (
+    admission,
+    answers,
+    configuration,
+    errors,
+    messages,
+    verdicts,
+)
+from camphorstair_standins import sites
+
+
+def test_unknown_is_cold() -> None:
+    gate = admission.Admission()
+    assert admission.refusal(gate) == 'overloaded'
+    admission.set_limits(gate, 8, 2)
+    assert gate.limit == 2
+
+
+def test_the_limit_rises_with_whole_answers_only() -> None:
+    gate = admission.Admission()
+    admission.set_limits(gate, 8, 2)
+    for whole in (True, False) * admission.RAMP_ANSWERS:
+        admission.start(gate)
+        admission.finish(gate, whole=whole)
+    assert gate.limit == 3
+
+
+def test_a_leaving_endpoint_refuses() -> None:
+    gate = admission.Admission(8, 2, 8, leaving=True)
+    assert admission.refusal(gate) == 'leaving'
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'idempotent', 'allowed'),
+    [
+        (verdicts.Verdict.not_run, False, True),
+        (verdicts.Verdict.may_have_run, False, False),
+        (verdicts.Verdict.may_have_run, True, True),
+        (verdicts.Verdict.ran, False, False),
+    ],
+)
+def test_only_what_did_not_run_is_repeated(
+    verdict: verdicts.Verdict,
+    idempotent: bool,
+    allowed: bool,
+) -> None:
+    assert verdicts.may_retry(verdict, idempotent=idempotent) is allowed
+
+
+def test_parts_of_other_requests_are_dropped() -> None:
+    progress = answers.AnswerProgress('mine', 1)
+    crossed = messages.ResponseChunk('other', 1, 1, 0, b'x')
+    late = messages.ResponseChunk('mine', 0, 1, 0, b'x')
+    assert not answers.belongs(progress, crossed)
+    assert not answers.belongs(progress, late)
+    assert progress.dropped == 2
+
+
+def test_a_short_answer_is_an_error() -> None:
+    progress = answers.AnswerProgress('mine', 1)
+    answers.take_chunk(progress, messages.ResponseChunk('mine', 1, 1, 0, b'x'))
+    end = messages.ResponseEnd('mine', 1, 2, messages.LoadReport())
+    with pytest.raises(errors.RequestError, match='1 of 2 parts came'):
+        answers.take_end(progress, end)
+
+
+def test_a_revision_never_goes_down() -> None:
+    holder = configuration.ConfigurationHolder()
+    newer = configuration.Configuration(2, 'b', sites.LEVIS_RULES)
+    older = configuration.Configuration(1, 'a', sites.LEVIS_RULES)
+    assert configuration.offer(holder, newer)
+    assert not configuration.offer(holder, older)
+    assert holder.revision() == 2
+
+
+def test_faulty_rules_leave_the_last_good_ones_in_force() -> None:
+    holder = configuration.ConfigurationHolder()
+    good = configuration.Configuration(1, 'a', sites.LEVIS_RULES)
+    bad = configuration.Configuration(2, 'b', 'nonsense')
+    assert configuration.offer(holder, good)
+    assert not configuration.offer(holder, bad)
+    assert holder.revision() == 1
+    assert 'revision 2' in holder.refused
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,129 @@
+"""Shows the system at work on a small site; see README.md."""
+
+import argparse
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import typing
+
+from camphorstair_standins import fleet, loopback, sites
+
+ORGANISATION = 'gravier'
+OUT_RULE = 'out data_centre=charny  # demo: maintenance\n'
+
+
+def say(text: str) -> None:
+    """Print one line of the account."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def authorization(running: fleet.Fleet) -> dict[str, str]:
+    """Return the headers that a caller sends."""
+    return {'authorization': f'Bearer {running.token(ORGANISATION)}'}
+
+
+def ask_directory(running: fleet.Fleet) -> str:
+    """Return the address that a caller is told to use."""
+    known = running.entries[0].callers_address
+    answer = loopback.http_call(known, '/v1/entries').json()
+    return str(answer['addresses'][0])
+
+
+def stream_draft(running: fleet.Fleet, address: str) -> str:
+    """Stream a draft and return its text."""
+    body = {
+        'model': 'redacteur-8b',
+        'stream': True,
+        'messages': [{'role': 'user', 'content': 'Draft a gate note.'}],
+    }
+    answer = loopback.http_call(
+        address,
+        '/v1/chat/completions',
+        json.dumps(body).encode(),
+        authorization(running),
+    )
+    if not answer.body.rstrip().endswith(b'data: [DONE]'):
+        raise fleet.FleetError(f'the draft is not whole: {answer.body!r}')
+    return ''.join(_texts(answer.body))
+
+
+def _texts(body: bytes) -> typing.Iterator[str]:
+    for line in body.split(b'\n'):
+        if line.startswith(b'data: {'):
+            chunk = json.loads(line.removeprefix(b'data: '))
+            yield chunk['choices'][0]['delta']['content']
+
+
+def book(running: fleet.Fleet, address: str) -> int:
+    """Make a booking and return its number."""
+    headers = {**authorization(running), 'idempotency-key': 'demo-1'}
+    answer = loopback.http_call(address, '/bookings', b'{"yard":4}', headers)
+    return int(answer.json()['booking'])
+
+
+def tour(running: fleet.Fleet) -> None:
+    """Go through the steps of the demo."""
+    count = len(running.processes.rows)
+    say(f'{count} processes run, the first rules are in force.')
+    address = ask_directory(running)
+    say(f'The directory says to use {address}.')
+    say(f'A draft, streamed: {stream_draft(running, address)}')
+    say(f'A booking: number {book(running, address)}.')
+    before = running.rules_path.read_text(encoding='utf-8')
+    running.rules_path.write_text(before + OUT_RULE, encoding='utf-8')
+    say(f'charny is taken out: {_one_line(running.apply())}')
+    say(f'A draft meanwhile: {stream_draft(running, address)}')
+    running.rules_path.write_text(before, encoding='utf-8')
+    say(f'charny is brought back: {_one_line(running.apply())}')
+    say(f'A booking after that: number {book(running, address)}.')
+
+
+def _one_line(text: str) -> str:
+    return ', '.join(text.split('\n')).rstrip(', ')
+
+
+def keep_running(running: fleet.Fleet) -> None:
+    """Print the addresses and wait for Ctrl-C."""
+    say(
+        json.dumps(
+            {
+                'entries': [vm.callers_address for vm in running.entries],
+                'token': running.token(ORGANISATION),
+                'rules': str(running.rules_path),
+                'settings': str(
+                    running.settings_path(running.entries[0].name),
+                ),
+                'organisation': ORGANISATION,
+                'model': 'redacteur-8b',
+            },
+        ),
+    )
+    signal.sigwait({signal.SIGINT, signal.SIGTERM})
+
+
+def main() -> None:
+    """Run the demo, or keep the site running."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--keep-running', action='store_true')
+    chosen = parser.parse_args()
+    if chosen.keep_running:
+        signals = {signal.SIGINT, signal.SIGTERM}
+        signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    with tempfile.TemporaryDirectory(prefix='camphorstair-') as directory:
+        running = fleet.Fleet(pathlib.Path(directory), sites.LEVIS)
+        try:
+            running.start()
+            if chosen.keep_running:
+                keep_running(running)
+            else:
+                tour(running)
+        finally:
+            running.processes.stop()
+    say('All processes stopped gracefully.')
+
+
+if __name__ == '__main__':
+    main()
