Add a package for specifications, checked like the code

Cause: model checking of the protocols needs a place that tests and docs share. Change: an empty package specs, in the checks of make.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target sets itself up; see README.md.
 PACKAGES := core runtime entry agent standins
 SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
-CHECKED := $(SOURCES) measures tests tools
+CHECKED := $(SOURCES) measures specs tests tools
 PYTHON := .venv/bin/python
 space := $(subst ,, )
 export PYTHONPATH := $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source))):$(CURDIR)
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for model checking."""
