Add leases with fencing numbers, watches and transactions

Cause: what must be done by one process at a time (plans, orders) needs a holder that is known by the platform, and a number by which others refuse the orders of a holder that was replaced.

Ruled out: the lease key's create revision as fencing number, because a platform that comes back with an older copy lowers its revisions and there is then no way to get above the highest number seen. A counter beside the lease, raised in the same transaction, can be set above it.

`platform.py` has transactions, ranges, leases and watches. A fault mended: a write whose answer was lost was sent to the next member, whose comparison then failed and reported "not written" for a write that was done; a call that may have been received is no longer sent twice. The stand-in has leases, watches and switches for faults (outage, delay, lost answers, silent watches, an older copy).

--- a/packages/runtime/src/camphorstair_runtime/platform.py
+++ b/packages/runtime/src/camphorstair_runtime/platform.py
@@ -8,13 +8,23 @@
 import curio
 import msgspec
 
-from camphorstair_runtime import http_client
+from camphorstair_runtime import http_client, http_messages, platform_messages
 
 CALL_LIMIT_S = 2.0
 
+Reply = typing.TypeVar('Reply')
+
 
 class PlatformError(Exception):
-    """The platform did not answer; a write may have taken effect."""
+    """The platform did not answer; a write may have taken effect.
+
+    :ivar sent: Whether the platform may have received the call.
+    """
+
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        """Keep the message and whether the call was sent."""
+        super().__init__(message)
+        self.sent = sent
 
 
 @attrs.define
@@ -23,30 +33,67 @@
 
     :ivar value: The bytes; empty if the key is not there.
     :ivar mod_revision: The service's revision; 0 if the key is not there.
+    :ivar key: The key.
     """
 
     value: bytes
     mod_revision: int
+    key: str = ''
 
 
 @attrs.define
-class _RawKeyValue:
-    value: str = ''
-    mod_revision: str = '0'
+class Lease:
+    """A lease of the platform.
 
+    :ivar ttl_s: Its time to live from the call that gave or renewed it.
+    """
 
-@attrs.define
-class _RangeReply:
-    kvs: list[_RawKeyValue] = attrs.field(factory=list)
+    lease_id: str
+    ttl_s: float
 
 
 @attrs.define
-class _TxnReply:
-    succeeded: bool = False
+class Watch:
+    """A waiting call that reports changes of a key.
 
+    :ivar exchange: The open call.
+    :ivar received: Bytes that are not yet a whole line.
+    """
 
-def _encode(raw: bytes) -> str:
-    return base64.b64encode(raw).decode()
+    exchange: http_client.Exchange
+    received: bytearray = attrs.field(factory=bytearray)
+
+    async def wait(self) -> KeyValue:
+        """Return the next change.
+
+        :raises PlatformError: if the watch is broken.
+        """
+        while True:
+            line = await self._line()
+            if line.report.canceled:
+                raise PlatformError('the watch was cancelled')
+            if line.report.events:
+                return _key_value(line.report.events[-1].kv)
+
+    async def close(self) -> None:
+        """End the watch."""
+        await self.exchange.close()
+
+    async def _line(self) -> platform_messages.WatchLine:
+        while b'\n' not in self.received:
+            self.received.extend(await self._chunk())
+        raw, _, rest = bytes(self.received).partition(b'\n')
+        self.received = bytearray(rest)
+        return _decoded(raw, platform_messages.WatchLine)
+
+    async def _chunk(self) -> bytes:
+        try:
+            chunk = await self.exchange.read()
+        except http_client.HttpError as error:
+            raise PlatformError(f'watch: {error}') from error
+        if chunk is None:
+            raise PlatformError('the watch ended')
+        return chunk
 
 
 @attrs.define
@@ -65,13 +112,35 @@
 
         :raises PlatformError: if no member answers.
         """
-        payload = {'key': _encode(key.encode())}
-        body = await self._call('/v3/kv/range', payload)
-        reply = msgspec.json.decode(body, type=_RangeReply)
-        if not reply.kvs:
-            return KeyValue(b'', 0)
-        raw = reply.kvs[0]
-        return KeyValue(base64.b64decode(raw.value), int(raw.mod_revision))
+        payload = {'key': platform_messages.encode_key(key)}
+        found = await self._range(payload)
+        return found[0] if found else KeyValue(b'', 0, key)
+
+    async def get_range(
+        self,
+        first: str,
+        end: str,
+        limit: int,
+        *,
+        newest_first: bool = False,
+    ) -> list[KeyValue]:
+        """Return the values of keys from one on and before another.
+
+        :param first: The first key.
+        :param end: The key after the last.
+        :param limit: How many are returned at most.
+        :param newest_first: Whether the highest keys come first.
+        :raises PlatformError: if no member answers.
+        """
+        order = 'DESCEND' if newest_first else 'ASCEND'
+        payload = {
+            'key': platform_messages.encode_key(first),
+            'range_end': platform_messages.encode_key(end),
+            'limit': str(limit),
+            'sort_order': order,
+            'sort_target': 'KEY',
+        }
+        return await self._range(payload)
 
     async def compare_and_swap(
         self,
@@ -87,34 +156,154 @@
         :returns: Whether it was written.
         :raises PlatformError: if no member answers; it may be written.
         """
-        name = _encode(key.encode())
-        compare = {
-            'key': name,
-            'target': 'MOD',
-            'result': 'EQUAL',
-            'mod_revision': str(mod_revision),
-        }
-        put = {'request_put': {'key': name, 'value': _encode(value)}}
-        payload = {'compare': [compare], 'success': [put]}
-        body = await self._call('/v3/kv/txn', payload)
-        return msgspec.json.decode(body, type=_TxnReply).succeeded
+        compare = platform_messages.Compare(key, mod_revision)
+        return await self.transact(
+            [compare],
+            [platform_messages.Put(key, value)],
+        )
+
+    async def transact(
+        self,
+        compares: list[platform_messages.Compare],
+        operations: list[platform_messages.Put | platform_messages.Delete],
+    ) -> bool:
+        """Do all operations if all conditions hold, or nothing.
+
+        A call that a member may have received is not sent to the next one:
+        its conditions would no longer hold and hide that it was done.
+
+        :returns: Whether they were done.
+        :raises PlatformError: if that is not known.
+        """
+        payload = platform_messages.txn_request(compares, operations)
+        body = await self._call('/v3/kv/txn', payload, repeat=False)
+        return _decoded(body, platform_messages.TxnReply).succeeded
+
+    async def grant_lease(self, ttl_s: int) -> Lease:
+        """Return a new lease.
+
+        :param ttl_s: Its time to live.
+        :raises PlatformError: if no member answers.
+        """
+        body = await self._call('/v3/lease/grant', {'TTL': str(ttl_s)})
+        return _lease(_decoded(body, platform_messages.LeaseReply))
+
+    async def renew_lease(self, lease_id: str) -> Lease:
+        """Renew a lease; its time to live is 0 if it has lapsed.
+
+        :raises PlatformError: if no member answers.
+        """
+        body = await self._call('/v3/lease/keepalive', {'ID': lease_id})
+        reply = _decoded(body, platform_messages.KeepAliveReply)
+        return _lease(reply.lease)
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease; the keys written with it are removed.
 
-    async def _call(self, target: str, payload: typing.Any) -> bytes:
+        :raises PlatformError: if no member answers.
+        """
+        await self._call('/v3/lease/revoke', {'ID': lease_id})
+
+    async def watch(self, key: str, start_revision: int) -> Watch:
+        """Open a watch of a key; it counts as one call.
+
+        :param start_revision: The first platform revision to report.
+        :raises PlatformError: if no member answers.
+        """
+        create = {
+            'key': platform_messages.encode_key(key),
+            'start_revision': str(start_revision),
+        }
+        body = msgspec.json.encode({'create_request': create})
+        headers = [('content-type', 'application/json')]
+        request = http_messages.Request('POST', '/v3/watch', headers, body)
         failure = 'no address'
         for address in self.addresses:
             self.calls += 1
             try:
-                response = await curio.timeout_after(
-                    CALL_LIMIT_S,
-                    http_client.fetch_json,
-                    address,
-                    target,
-                    payload,
-                )
+                return Watch(await _open(address, request))
             except (http_client.HttpError, curio.TaskTimeout) as error:
                 failure = f'{address}: {error!r}'
-                continue
-            if response.status == http.HTTPStatus.OK:
-                return response.body
-            failure = f'{address}: status {response.status}'
         raise PlatformError(failure)
+
+    async def _range(
+        self, payload: platform_messages.Payload
+    ) -> list[KeyValue]:
+        body = await self._call('/v3/kv/range', payload)
+        reply = _decoded(body, platform_messages.RangeReply)
+        return [_key_value(raw) for raw in reply.kvs]
+
+    async def _call(
+        self,
+        target: str,
+        payload: platform_messages.Payload,
+        *,
+        repeat: bool = True,
+    ) -> bytes:
+        failure = PlatformError('no address', sent=False)
+        for address in self.addresses:
+            self.calls += 1
+            try:
+                return await _call_member(address, target, payload)
+            except PlatformError as error:
+                failure = error
+            if failure.sent and not repeat:
+                break
+        raise failure
+
+
+async def _call_member(
+    address: str,
+    target: str,
+    payload: platform_messages.Payload,
+) -> bytes:
+    try:
+        response = await curio.timeout_after(
+            CALL_LIMIT_S,
+            http_client.fetch_json,
+            address,
+            target,
+            payload,
+        )
+    except http_client.HttpError as error:
+        message = f'{address}: {error!r}'
+        raise PlatformError(message, sent=error.sent) from error
+    except curio.TaskTimeout as timeout:
+        message = f'{address}: no answer in {CALL_LIMIT_S} s'
+        raise PlatformError(message) from timeout
+    if response.status != http.HTTPStatus.OK:
+        raise PlatformError(f'{address}: status {response.status}')
+    return response.body
+
+
+async def _open(
+    address: str,
+    request: http_messages.Request,
+) -> http_client.Exchange:
+    exchange = await curio.timeout_after(
+        CALL_LIMIT_S,
+        http_client.open_exchange,
+        address,
+        request,
+    )
+    if exchange.status != http.HTTPStatus.OK:
+        await exchange.close()
+        message = f'status {exchange.status}'
+        raise http_client.HttpError(message, sent=True)
+    return exchange
+
+
+def _decoded(body: bytes, kind: type[Reply]) -> Reply:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as fault:
+        raise PlatformError(f'unreadable reply: {fault}') from fault
+
+
+def _key_value(raw: platform_messages.RawKeyValue) -> KeyValue:
+    key = base64.b64decode(raw.key).decode()
+    return KeyValue(base64.b64decode(raw.value), int(raw.mod_revision), key)
+
+
+def _lease(reply: platform_messages.LeaseReply) -> Lease:
+    return Lease(reply.lease_id, float(reply.ttl_s))
--- /dev/null
+++ b/packages/standins/src/camphorstair_standins/key_value_store.py
@@ -0,0 +1,197 @@
+"""Keys, leases and changes of the stand-in for the key-value service."""
+
+import base64
+import copy
+import typing
+from collections import abc
+
+import attrs
+
+Payload = dict[str, typing.Any]
+
+
+@attrs.define
+class StoredValue:
+    """A value, in base64, and the revision of its last change.
+
+    :ivar lease_id: The lease that the key ends with, or empty.
+    """
+
+    value: str
+    mod_revision: int
+    lease_id: str = ''
+
+
+@attrs.define
+class StoredLease:
+    """A lease and when it ends."""
+
+    ttl_s: int
+    deadline_s: float
+
+
+@attrs.define
+class Change:
+    """A change of a key, for watches."""
+
+    key: str
+    value: str
+    revision: int
+    kind: str = 'PUT'
+
+
+@attrs.define
+class Store:
+    """All that the service holds.
+
+    :ivar clock: Monotonic clock, for leases.
+    :ivar revision: Revision of the last change.
+    :ivar rows: Values by their key in base64.
+    :ivar leases: Leases by their identifier.
+    :ivar changes: All changes, for watches.
+    """
+
+    clock: abc.Callable[[], float]
+    revision: int = 0
+    rows: dict[str, StoredValue] = attrs.field(factory=dict)
+    leases: dict[str, StoredLease] = attrs.field(factory=dict)
+    changes: list[Change] = attrs.field(factory=list)
+
+
+def restore(store: Store, older: Store) -> None:
+    """Take over an older copy, as a restart from a backup does."""
+    copied = copy.deepcopy(older)
+    store.revision = copied.revision
+    store.rows = copied.rows
+    store.leases = copied.leases
+    store.changes = copied.changes
+
+
+def expire(store: Store) -> None:
+    """Remove the leases that have ended, with their keys."""
+    now_s = store.clock()
+    ended = [
+        lease_id
+        for lease_id, lease in store.leases.items()
+        if lease.deadline_s <= now_s
+    ]
+    for lease_id in ended:
+        _remove_lease(store, lease_id)
+
+
+def read_range(store: Store, payload: Payload) -> Payload:
+    """Answer ``/v3/kv/range``; keys in base64 are compared decoded."""
+    keys = _selected(store, payload)
+    if payload.get('sort_order') == 'DESCEND':
+        keys.reverse()
+    limit = int(payload.get('limit', 0)) or len(keys)
+    pairs = [_pair(key, store.rows[key]) for key in keys[:limit]]
+    return {'kvs': pairs, 'count': str(len(keys))} if pairs else {}
+
+
+def transact(store: Store, payload: Payload) -> Payload:
+    """Answer ``/v3/kv/txn``."""
+    succeeded = all(_holds(store, one) for one in payload.get('compare', []))
+    operations = payload.get('success' if succeeded else 'failure', [])
+    if operations:
+        store.revision += 1
+    for operation in operations:
+        _operate(store, operation)
+    return {'succeeded': succeeded}
+
+
+def grant(store: Store, payload: Payload) -> Payload:
+    """Answer ``/v3/lease/grant``."""
+    ttl_s = int(payload['TTL'])
+    store.revision += 1
+    lease_id = str(store.revision)
+    store.leases[lease_id] = StoredLease(ttl_s, store.clock() + ttl_s)
+    return {'ID': lease_id, 'TTL': str(ttl_s)}
+
+
+def keep_alive(store: Store, payload: Payload) -> Payload:
+    """Answer ``/v3/lease/keepalive``."""
+    lease_id = payload['ID']
+    lease = store.leases.get(lease_id)
+    if lease is None:
+        return {'result': {'ID': lease_id, 'TTL': '0'}}
+    lease.deadline_s = store.clock() + lease.ttl_s
+    return {'result': {'ID': lease_id, 'TTL': str(lease.ttl_s)}}
+
+
+def revoke(store: Store, payload: Payload) -> Payload:
+    """Answer ``/v3/lease/revoke``."""
+    if payload['ID'] in store.leases:
+        _remove_lease(store, payload['ID'])
+    return {}
+
+
+def changes_of(store: Store, key: str, first_revision: int) -> list[Change]:
+    """Return the changes of a key from a revision on."""
+    return [
+        change
+        for change in store.changes
+        if change.key == key and change.revision >= first_revision
+    ]
+
+
+def event(change: Change) -> Payload:
+    """Return a change as a watch reports it."""
+    pair = {
+        'key': change.key,
+        'value': change.value,
+        'mod_revision': str(change.revision),
+    }
+    return {'type': change.kind, 'kv': pair}
+
+
+def _selected(store: Store, payload: Payload) -> list[str]:
+    first, end = payload['key'], payload.get('range_end')
+    if end is None:
+        return [first] if first in store.rows else []
+    low, high = _decoded(first), _decoded(end)
+    found = [key for key in store.rows if low <= _decoded(key) < high]
+    return sorted(found, key=_decoded)
+
+
+def _decoded(key: str) -> bytes:
+    return base64.b64decode(key)
+
+
+def _pair(key: str, row: StoredValue) -> Payload:
+    return {
+        'key': key,
+        'value': row.value,
+        'mod_revision': str(row.mod_revision),
+    }
+
+
+def _holds(store: Store, compare: Payload) -> bool:
+    row = store.rows.get(compare['key'])
+    found = row.mod_revision if row else 0
+    return found == int(compare['mod_revision'])
+
+
+def _operate(store: Store, operation: Payload) -> None:
+    removal = operation.get('request_delete_range')
+    if removal is not None:
+        _remove(store, removal['key'])
+        return
+    put = operation['request_put']
+    key, value = put['key'], put['value']
+    row = StoredValue(value, store.revision, put.get('lease', ''))
+    store.rows[key] = row
+    store.changes.append(Change(key, value, store.revision))
+
+
+def _remove(store: Store, key: str) -> None:
+    if store.rows.pop(key, None) is not None:
+        store.changes.append(Change(key, '', store.revision, 'DELETE'))
+
+
+def _remove_lease(store: Store, lease_id: str) -> None:
+    store.leases.pop(lease_id)
+    store.revision += 1
+    for key, row in list(store.rows.items()):
+        if row.lease_id == lease_id:
+            _remove(store, key)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,139 @@
+"""Leases and fencing numbers, against the stand-in on loopback."""
+
+import typing
+from collections import abc
+
+import attrs
+import curio
+import pytest
+
+from camphorstair_runtime import http_server, leases, platform, settings
+from camphorstair_standins import key_value, key_value_store, loopback
+
+TTL_S = 10
+Body = abc.Callable[[platform.PlatformClient], abc.Awaitable[typing.Any]]
+
+
+@attrs.define
+class Bench:
+    """A stand-in and the clock that it and the holders share."""
+
+    now_s: float = 100
+    service: key_value.KeyValueService = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        store = key_value_store.Store(self.clock)
+        self.service = key_value.KeyValueService(store)
+
+    def clock(self) -> float:
+        return self.now_s
+
+    def run(self, body: Body, members: int = 1) -> typing.Any:
+        return curio.run(self._run, body, members)
+
+    async def _run(self, body: Body, members: int) -> typing.Any:
+        addresses = [loopback.free_address() for _ in range(members)]
+        server = http_server.Server(self.service.handle)
+        async with curio.TaskGroup(wait=any) as group:
+            for address in addresses:
+                host, port = settings.split_address(address)
+                await group.spawn(curio.tcp_server, host, port, server.serve)
+            await curio.sleep(0)
+            outcome = await body(platform.PlatformClient(addresses))
+            await group.cancel_remaining()
+        return outcome
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench()
+
+
+def test_one_holder_at_a_time_and_numbers_rise(bench: Bench) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        first = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
+        assert first is not None
+        assert not await leases.acquire(client, 'plan', 'b', TTL_S, bench.clock)
+        owner = await leases.owner(client, 'plan')
+        assert owner == leases.Owner('a', first.lease_id, first.fencing)
+        await leases.release(client, first, bench.clock)
+        second = await leases.acquire(client, 'plan', 'b', TTL_S, bench.clock)
+        assert second is not None
+        assert second.fencing > first.fencing
+
+    bench.run(body)
+
+
+def test_a_paused_holder_notices_before_the_platform_ends_it(
+    bench: Bench,
+) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        first = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
+        assert first is not None
+        bench.now_s += TTL_S * 0.95
+        assert not await leases.renew(client, first, bench.clock)
+        assert not await leases.acquire(client, 'plan', 'b', TTL_S, bench.clock)
+        bench.now_s += TTL_S
+        second = await leases.acquire(client, 'plan', 'b', TTL_S, bench.clock)
+        assert second is not None
+        assert second.fencing > first.fencing
+
+    bench.run(body)
+
+
+def test_the_deadline_counts_from_before_the_renewal(bench: Bench) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        lease = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
+        assert lease is not None
+        ticks = iter((101, 200))
+        assert not await leases.renew(client, lease, lambda: next(ticks))
+        assert lease.deadline_s == pytest.approx(101 + TTL_S * 0.9)
+
+    bench.run(body)
+
+
+def test_a_lost_answer_does_not_lose_the_lease(bench: Bench) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        bench.service.faults.lost_answers = 1
+        lease = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
+        assert lease is not None
+        assert leases.held(lease, bench.clock())
+
+    bench.run(body)
+
+
+def test_a_number_seen_elsewhere_is_exceeded(bench: Bench) -> None:
+    async def body(client: platform.PlatformClient) -> int:
+        lease = await leases.acquire(
+            client, 'plan', 'a', TTL_S, bench.clock, above=41
+        )
+        return lease.fencing if lease else 0
+
+    assert bench.run(body) == 42
+
+
+def test_a_write_that_may_be_done_is_not_sent_to_another_member(
+    bench: Bench,
+) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        bench.service.faults.lost_answers = 1
+        with pytest.raises(platform.PlatformError):
+            await client.compare_and_swap('key', 0, b'value')
+        assert (await client.get('key')).value == b'value'
+
+    bench.run(body, members=2)
+
+
+def test_a_watch_reports_a_change_and_breaks_in_an_outage(
+    bench: Bench,
+) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        watch = await client.watch('key', 1)
+        await client.compare_and_swap('key', 0, b'value')
+        assert (await watch.wait()).value == b'value'
+        bench.service.faults.outage = True
+        with pytest.raises(platform.PlatformError):
+            await watch.wait()
+        await watch.close()
+
+    bench.run(body)
