--- a/packages/core/src/camphorstair_core/configuration.py
+++ b/packages/core/src/camphorstair_core/configuration.py
@@ -1,8 +1,12 @@
 """The configuration in force at a process; its revision only rises."""
 
+import collections
+
 import attrs
 
-from camphorstair_core import rule_reader, rules
+from camphorstair_core import changes, deltas, rule_reader, rules
+
+RECENT_CHANGES = 32
 
 
 @attrs.define(frozen=True)
@@ -19,6 +23,10 @@
     text: str
 
 
+def _new_recent() -> collections.deque[changes.Change]:
+    return collections.deque(maxlen=RECENT_CHANGES)
+
+
 @attrs.define
 class ConfigurationHolder:
     """What is in force at a process.
@@ -26,11 +34,15 @@
     :ivar current: The configuration, or None before the first.
     :ivar rule_set: Its rules.
     :ivar refused: Why the last newer one was refused, else empty.
+    :ivar recent: The changes that led to the current one without a gap.
     """
 
     current: Configuration | None = None
     rule_set: rules.RuleSet = attrs.field(factory=rules.RuleSet)
     refused: str = ''
+    recent: collections.deque[changes.Change] = attrs.field(
+        factory=_new_recent,
+    )
 
     def revision(self) -> int:
         """Return the revision in force, or 0."""
@@ -53,4 +65,48 @@
     holder.current = offered
     holder.rule_set = rule_set
     holder.refused = ''
+    holder.recent.clear()
+    return True
+
+
+def offer_changes(
+    holder: ConfigurationHolder,
+    offered: list[changes.Change],
+) -> bool:
+    """Put the changes that follow the current revision in force.
+
+    :param holder: What is in force.
+    :param offered: Changes in the order of their revisions; those not newer
+        are passed over.
+    :returns: Whether anything was put in force.
+    :raises deltas.DeltaError: if they do not lead on from the current
+        revision; a whole copy is needed.
+    """
+    newer = [one for one in offered if one.revision > holder.revision()]
+    if not newer:
+        return False
+    if holder.current is None:
+        raise deltas.DeltaError('no revision that a delta could apply to')
+    text = changes.Text(holder.current.revision, holder.current.text)
+    for change in newer:
+        text = changes.advance(text, change)
+    changed = Configuration(text.revision, newer[-1].change_id, text.rules)
+    led_here = [*holder.recent, *newer]
+    if not offer(holder, changed):
+        return False
+    holder.recent.extend(led_here)
     return True
+
+
+def changes_above(
+    holder: ConfigurationHolder,
+    revision: int,
+) -> list[changes.Change] | None:
+    """Return the changes from a revision to the one in force.
+
+    :returns: The changes, or None if a whole copy is needed.
+    """
+    found = [one for one in holder.recent if one.revision > revision]
+    if len(found) != holder.revision() - revision:
+        return None
+    return found
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from camphorstair_core import verdicts
+from camphorstair_core import changes, verdicts
 
 
 @attrs.define
@@ -58,12 +58,15 @@
 
     :ivar revision: Its revision; 0 if the sender has none.
     :ivar change_id: The identifier of the change that made it.
-    :ivar text: The rules, or None if the asker's copy is as new.
+    :ivar text: The rules, or None if the asker's copy is as new or deltas
+        lead to them.
+    :ivar deltas: The changes above the asker's revision, if it is recent.
     """
 
     revision: int
     change_id: str = ''
     text: str | None = None
+    deltas: list[changes.Change] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -177,6 +180,7 @@
 
     :ivar role: ``entry`` or ``agent``.
     :ivar service: The service behind an agent, else empty.
+    :ivar refused: Why it refused a newer configuration, else empty.
     """
 
     node: str
@@ -188,6 +192,7 @@
     service: str = ''
     memory_bytes: int = 0
     processor_s: float = 0
+    refused: str = ''
 
 
 KINDS = types.MappingProxyType(
--- a/packages/core/src/camphorstair_core/routing.py
+++ b/packages/core/src/camphorstair_core/routing.py
@@ -45,9 +45,12 @@
             errors.unknown_organisation,
             f'organisation "{organisation}" is in no rule',
         )
-    route = _find_route(rule_set, method, path)
+    candidates = [
+        route for route in rule_set.routes if route.admits(organisation, model)
+    ]
+    route = _find_route(candidates, method, path)
     service = route.service
-    if path == COMPLETIONS_PATH and model is not None:
+    if path == COMPLETIONS_PATH and model is not None and not route.model:
         service = _find_model(rule_set, model)
     return Decision(
         rule_set.services[service],
@@ -57,8 +60,12 @@
     )
 
 
-def _find_route(rule_set: rules.RuleSet, method: str, path: str) -> rules.Route:
-    for route in rule_set.routes:
+def _find_route(
+    routes: list[rules.Route],
+    method: str,
+    path: str,
+) -> rules.Route:
+    for route in routes:
         if route.matches(method, path):
             return route
     raise errors.RequestError(
--- a/packages/core/src/camphorstair_core/rule_lines.py
+++ b/packages/core/src/camphorstair_core/rule_lines.py
@@ -59,25 +59,22 @@
         return None
 
 
-def split_lines(text: str) -> tuple[list[RuleLine], list[RuleError]]:
-    """Split a rules file into rules.
+def requester(line: str) -> str:
+    """Return the comment of a rule, or nothing for a line without a rule."""
+    rule, _mark, comment = line.partition('#')
+    return comment.strip() if rule.strip() else ''
+
 
-    :param text: The whole file.
-    :returns: The rules that can be read, and the faults of the others.
+def split_line(number: int, line: str) -> RuleLine | None:
+    """Split a line of a rules file into a rule.
+
+    :param number: Its line number, from 1.
+    :param line: The line.
+    :returns: The rule, or None for an empty line or a comment alone.
+    :raises RuleError: if it is no rule.
     """
-    rule_lines: list[RuleLine] = []
-    faults: list[RuleError] = []
-    for number, line in enumerate(text.split('\n'), start=1):
-        if not line.strip() or line.lstrip().startswith('#'):
-            continue
-        try:
-            rule_lines.append(_split_line(number, line))
-        except RuleError as fault:
-            faults.append(fault)
-    return rule_lines, faults
-
-
-def _split_line(number: int, line: str) -> RuleLine:
+    if not line.strip() or line.lstrip().startswith('#'):
+        return None
     rule, _mark, comment = line.partition('#')
     if not comment.strip():
         message = 'rule has no comment that names who asked for it'
--- a/packages/core/src/camphorstair_core/rule_reader.py
+++ b/packages/core/src/camphorstair_core/rule_reader.py
@@ -2,9 +2,17 @@
 
 import difflib
 import types
+from collections import abc
+
+import attrs
 
 from camphorstair_core import rule_lines, rules
 
+MAX_DIGITS = 9
+
+_SERVICE = 'service'
+_REFERRING = ('model', 'route')
+
 _REQUIRED = types.MappingProxyType(
     {
         'service': ('name', 'kind', 'in_flight', 'cold_in_flight'),
@@ -19,27 +27,54 @@
 _OPTIONAL = types.MappingProxyType(
     {
         'organisation': ('priority',),
-        'route': ('method', 'repeat'),
+        'route': ('method', 'repeat', 'organisation', 'model'),
         'out': ('data_centre', 'endpoint'),
     },
 )
 
 
+@attrs.define(frozen=True)
+class _Reference:
+    """A place that names a service."""
+
+    line: int
+    column: int
+    service: str
+
+
 def parse(text: str) -> tuple[rules.RuleSet, list[rule_lines.RuleError]]:
     """Read a rules file.
 
     :param text: The whole file.
     :returns: The rules and every fault found, in the order of lines.
     """
-    lines, faults = rule_lines.split_lines(text)
     rule_set = rules.RuleSet()
-    for line in lines:
+    faults: list[rule_lines.RuleError] = []
+    references: list[_Reference] = []
+    for number, line in enumerate(text.split('\n'), start=1):
         try:
-            _read_rule(rule_set, line)
+            _read_line(rule_set, references, number, line)
         except rule_lines.RuleError as fault:
             faults.append(fault)
-    faults.extend(_undefined_services(rule_set))
-    return rule_set, sorted(faults, key=lambda fault: fault.line)
+    faults.extend(_undefined_services(rule_set, references))
+    faults.sort(key=lambda fault: (fault.line, fault.column))
+    return rule_set, faults
+
+
+def _read_line(
+    rule_set: rules.RuleSet,
+    references: list[_Reference],
+    number: int,
+    text: str,
+) -> None:
+    line = rule_lines.split_line(number, text)
+    if line is None:
+        return
+    service = line.setting(_SERVICE)
+    if service is not None and line.verb in _REFERRING:
+        column = _column(line, _SERVICE)
+        references.append(_Reference(number, column, service))
+    _read_rule(rule_set, line)
 
 
 def _read_rule(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
@@ -47,7 +82,7 @@
         raise rule_lines.RuleError(
             line.line,
             line.text.index(line.verb) + 1,
-            _unknown('rule', line.verb, list(_REQUIRED)),
+            unknown('rule', line.verb, list(_REQUIRED)),
         )
     _check_keys(line)
     _READERS[line.verb](rule_set, line)
@@ -58,7 +93,7 @@
     known = (*required, *_OPTIONAL.get(line.verb, ()))
     for word in line.words:
         if word.key not in known:
-            message = _unknown('setting', word.key, list(known))
+            message = unknown('setting', word.key, list(known))
             raise rule_lines.RuleError(line.line, word.column, message)
     for key in required:
         if line.setting(key) is None:
@@ -66,7 +101,13 @@
             raise rule_lines.RuleError(line.line, 1, message)
 
 
-def _unknown(what: str, name: str, known: list[str]) -> str:
+def unknown(what: str, name: str, known: list[str]) -> str:
+    """Return the message for a name that is not known, with a suggestion.
+
+    :param what: What the name stands for.
+    :param name: The name.
+    :param known: The names that are known.
+    """
     close = difflib.get_close_matches(name, known, n=1)
     hint = f', did you mean "{close[0]}"?' if close else ''
     return f'unknown {what} "{name}"{hint}'
@@ -78,7 +119,8 @@
 
 def _whole_number(line: rule_lines.RuleLine, key: str) -> int:
     text = line.setting(key) or ''
-    if not (text.isascii() and text.isdigit() and int(text) > 0):
+    short = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    if not short or not int(text):
         message = f'{key} must be a whole number above 0, not "{text}"'
         raise rule_lines.RuleError(line.line, _column(line, key), message)
     return int(text)
@@ -94,7 +136,7 @@
     if text is None:
         return default
     if text not in known:
-        message = _unknown(key, text, known)
+        message = unknown(key, text, known)
         raise rule_lines.RuleError(line.line, _column(line, key), message)
     return text
 
@@ -106,7 +148,7 @@
 def _refuse_second(
     line: rule_lines.RuleLine,
     key: str,
-    table: dict[str, object],
+    table: abc.Mapping[str, object],
 ) -> None:
     name = _name(line, key)
     if name in table:
@@ -125,7 +167,7 @@
 
 
 def _read_service(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'name', dict(rule_set.services))
+    _refuse_second(line, 'name', rule_set.services)
     in_flight, cold_in_flight = _limits(line)
     kind = rules.ServiceKind(_choice(line, 'kind', list(rules.ServiceKind), ''))
     name = _name(line)
@@ -139,14 +181,15 @@
 
 
 def _read_model(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'name', dict(rule_set.models))
+    _refuse_second(line, 'name', rule_set.models)
     rule_set.models[_name(line)] = _name(line, 'service')
+    rule_set.model_lines[_name(line)] = line.line
 
 
 def _read_organisation(
     rule_set: rules.RuleSet, line: rule_lines.RuleLine
 ) -> None:
-    _refuse_second(line, 'name', dict(rule_set.organisations))
+    _refuse_second(line, 'name', rule_set.organisations)
     names = [priority.name for priority in rules.Priority]
     priority = _choice(line, 'priority', names, rules.Priority.normal.name)
     in_flight = _whole_number(line, 'in_flight')
@@ -173,12 +216,14 @@
             service=_name(line, 'service'),
             idempotent=repeat == 'allowed',
             line=line.line,
+            organisation=_name(line, 'organisation'),
+            model=_name(line, 'model'),
         ),
     )
 
 
 def _read_limit(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'endpoint', dict(rule_set.endpoints))
+    _refuse_second(line, 'endpoint', rule_set.endpoints)
     in_flight, cold_in_flight = _limits(line)
     name = _name(line, 'endpoint')
     rule_set.endpoints[name] = rules.Service(
@@ -202,9 +247,11 @@
 
 
 def _read_fencing(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'endpoint', dict(rule_set.checked_fencing))
+    _refuse_second(line, 'endpoint', rule_set.checked_fencing)
     checked = _choice(line, 'checked', ['yes', 'no'], 'no')
-    rule_set.checked_fencing[_name(line, 'endpoint')] = checked == 'yes'
+    endpoint = _name(line, 'endpoint')
+    rule_set.checked_fencing[endpoint] = checked == 'yes'
+    rule_set.fencing_lines[endpoint] = line.line
 
 
 _READERS = types.MappingProxyType(
@@ -220,14 +267,17 @@
 )
 
 
-def _undefined_services(rule_set: rules.RuleSet) -> list[rule_lines.RuleError]:
+def _undefined_services(
+    rule_set: rules.RuleSet,
+    references: list[_Reference],
+) -> list[rule_lines.RuleError]:
     known = list(rule_set.services)
     return [
         rule_lines.RuleError(
-            route.line,
-            1,
-            _unknown('service', route.service, known),
+            reference.line,
+            reference.column,
+            unknown('service', reference.service, known),
         )
-        for route in rule_set.routes
-        if route.service not in rule_set.services
+        for reference in references
+        if reference.service not in rule_set.services
     ]
--- /dev/null
+++ b/packages/entry/src/camphorstair/acceptance.py
@@ -0,0 +1,246 @@
+"""Accepts a configuration in the platform's service, or says what came first.
+
+All of it is one compare-and-swap on the revision read. An answer that is lost
+is settled by reading back the change's identifier.
+"""
+
+import enum
+import uuid
+
+import attrs
+import curio
+
+from camphorstair_core import changes, configuration, deltas
+from camphorstair_runtime import (
+    configuration_store,
+    configuration_values,
+    platform,
+)
+
+SETTLE_TRIES = 4
+WRITE_TRIES = 3
+SETTLE_INTERVAL_S = 1.0
+
+
+class Outcome(enum.StrEnum):
+    """What is known of a write."""
+
+    accepted = 'accepted'
+    not_accepted = 'not accepted'
+    unknown = 'unknown'
+
+
+class AcceptanceError(Exception):
+    """A change was not accepted, or that is not known."""
+
+
+@attrs.define
+class ConflictError(AcceptanceError):
+    """Another change came between.
+
+    :ivar revision: The revision in force.
+    :ivar lines: The lines that the other changes removed and added.
+    """
+
+    revision: int
+    lines: list[str]
+
+    def __str__(self) -> str:
+        """Return the conflict with the other's lines."""
+        shown = [f'  {line}' for line in self.lines]
+        head = f'conflict: revision {self.revision} has other lines:'
+        return '\n'.join([head, *shown])
+
+
+@attrs.define
+class UnknownOutcomeError(AcceptanceError):
+    """It can't be known now whether a change was accepted.
+
+    :ivar change_id: Its identifier, to look for in the history.
+    :ivar reason: Why it is not known.
+    """
+
+    change_id: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return what is not known and how to find out."""
+        return (
+            f'outcome unknown: {self.reason}; once the platform answers,'
+            f' "camphorstair history" shows change {self.change_id}'
+            ' if it was accepted'
+        )
+
+
+@attrs.define(frozen=True)
+class Plan:
+    """A change that is not yet accepted.
+
+    :ivar stored: What the platform held.
+    :ivar changed: The new configuration.
+    :ivar change: Its delta and audit entry.
+    """
+
+    stored: configuration_store.Stored
+    changed: configuration.Configuration
+    change: changes.Change
+
+
+def prepare(
+    stored: configuration_store.Stored,
+    text: str,
+    author: changes.Author,
+) -> Plan:
+    """Return the change that makes a text the next revision."""
+    old = stored.current or configuration.Configuration(0, '', '')
+    changed = configuration.Configuration(
+        old.revision + 1,
+        uuid.uuid4().hex,
+        text,
+    )
+    change = changes.describe(
+        changes.Text(old.revision, old.text),
+        changes.Text(changed.revision, text),
+        changed.change_id,
+        author,
+    )
+    return Plan(stored, changed, change)
+
+
+def prepare_repair(
+    found: configuration_values.StoredHead,
+    newest: configuration.Configuration,
+    author: changes.Author,
+) -> Plan:
+    """Return the write that gives an older copy what is in force again.
+
+    :param found: The head of the older copy; it may be corrupt.
+    :param newest: The configuration in force at the processes.
+    """
+    change = changes.Change(
+        revision=newest.revision,
+        base_revision=found.revision(),
+        change_id=newest.change_id,
+        digest=deltas.digest(newest.text),
+        edits=None,
+        operator=author.operator,
+        at_epoch_s=author.at_epoch_s,
+        note='restored from a process: the platform held an older copy',
+    )
+    stored = configuration_store.Stored(None, found)
+    return Plan(stored, newest, change)
+
+
+async def accept(client: platform.PlatformClient, plan: Plan) -> None:
+    """Accept a change.
+
+    A write that was certainly not done, while the revision it was made from
+    is still the newest, is tried again on the head as it is now.
+
+    :raises ConflictError: if another change came first; nothing is written.
+    :raises UnknownOutcomeError: if it can't be known.
+    :raises configuration_values.TooLargeError: if a value is too large.
+    """
+    for _ in range(WRITE_TRIES):
+        if await _write(client, plan):
+            return
+        found = await configuration_store.read_head(client)
+        if found.head != plan.stored.found.head and found.revision():
+            break
+        stored = configuration_store.Stored(plan.stored.current, found)
+        plan = attrs.evolve(plan, stored=stored)
+    raise await conflict(client, plan.stored.found.revision())
+
+
+async def _write(client: platform.PlatformClient, plan: Plan) -> bool:
+    try:
+        return await configuration_store.write(
+            client,
+            plan.stored.found,
+            plan.changed,
+            plan.change,
+        )
+    except platform.PlatformError as failure:
+        return await _settle(client, plan, str(failure))
+
+
+async def conflict(
+    client: platform.PlatformClient,
+    base_revision: int,
+) -> ConflictError:
+    """Return the conflict with all changes after a revision.
+
+    :param base_revision: The revision that the own change was made from.
+    """
+    found = await configuration_store.read_head(client)
+    try:
+        others = await configuration_store.read_changes(
+            client,
+            base_revision,
+            found.revision(),
+        )
+    except configuration_values.StoreError as fault:
+        return ConflictError(found.revision(), [str(fault)])
+    lines: list[str] = []
+    for other in others:
+        lines.append(f'revision {other.revision} by {other.operator}:')
+        lines.extend(other.changed_lines())
+    return ConflictError(found.revision(), lines)
+
+
+async def _settle(
+    client: platform.PlatformClient,
+    plan: Plan,
+    reason: str,
+) -> bool:
+    """Find out whether a write without an answer was done.
+
+    :returns: Whether it was.
+    :raises UnknownOutcomeError: if that can't be known.
+    """
+    outcome = Outcome.unknown
+    for attempt in range(SETTLE_TRIES):
+        if attempt:
+            await curio.sleep(SETTLE_INTERVAL_S)
+        try:
+            outcome = await _read_back(client, plan)
+        except (platform.PlatformError, configuration_values.StoreError):
+            continue
+        if outcome is not Outcome.unknown:
+            return outcome is Outcome.accepted
+    raise UnknownOutcomeError(plan.changed.change_id, reason)
+
+
+async def _read_back(
+    client: platform.PlatformClient,
+    plan: Plan,
+) -> Outcome:
+    revision = plan.changed.revision
+    found = await configuration_store.read_head(client)
+    if found.mod_revision == plan.stored.found.mod_revision:
+        # The write may still be on its way: a touched head keeps it out.
+        if await configuration_store.touch(client, found):
+            return Outcome.not_accepted
+        return Outcome.unknown
+    if found.head is not None and found.revision() >= revision:
+        change = await configuration_store.read_change(client, revision)
+        if change is None:
+            return Outcome.unknown
+        if change.change_id == plan.changed.change_id:
+            return Outcome.accepted
+        return Outcome.not_accepted
+    return _lower_head(plan, found)
+
+
+def _lower_head(
+    plan: Plan,
+    found: configuration_values.StoredHead,
+) -> Outcome:
+    """Judge a head that was written but is below the revision wanted.
+
+    A touched head of the base revision excludes the write; a lower one is an
+    older copy, and what was in the newer one is not known.
+    """
+    same = found.revision() == plan.stored.found.revision()
+    newer = found.mod_revision > plan.stored.found.mod_revision
+    return Outcome.not_accepted if same and newer else Outcome.unknown
--- a/packages/entry/src/camphorstair/command_line.py
+++ b/packages/entry/src/camphorstair/command_line.py
@@ -1,8 +1,8 @@
 """The command ``camphorstair``."""
 
 import os
-import pathlib
 import sys
+import types
 import typing
 from importlib import metadata
 
@@ -10,32 +10,28 @@
 import msgspec
 import typer
 
-from camphorstair import operators
-from camphorstair_core import messages, rule_reader
-from camphorstair_runtime import platform, security, settings, vm_list
-
-USAGE_ERROR = 2
-CONFLICT = 3
-UNKNOWN_OUTCOME = 4
-NOT_EVERYWHERE = 5
+from camphorstair import (
+    acceptance,
+    applying,
+    command_options,
+    operators,
+    rule_commands,
+    rules_file,
+)
+from camphorstair_core import messages
+from camphorstair_runtime import configuration_values, vm_list
 
 _APP = typer.Typer(
     add_completion=False,
     no_args_is_help=True,
     help='Load balancer for expert-parallel model groups.',
 )
-_SettingsFile = typing.Annotated[
-    pathlib.Path,
-    typer.Option('--settings', help='Settings file in TOML.'),
-]
-_RulesFile = typing.Annotated[
-    pathlib.Path,
-    typer.Argument(help='Rules file.'),
-]
-_Json = typing.Annotated[
-    bool,
-    typer.Option('--json', help='Print JSON for scripts.'),
-]
+_ACCEPTANCE_CODES = types.MappingProxyType(
+    {
+        acceptance.ConflictError: command_options.CONFLICT,
+        acceptance.UnknownOutcomeError: command_options.UNKNOWN_OUTCOME,
+    },
+)
 
 
 def _show_version(wanted: bool) -> None:
@@ -54,90 +50,81 @@
     """Load balancer for expert-parallel model groups."""
 
 
-def _fail(message: str, code: int) -> typing.NoReturn:
-    typer.echo(message, err=True)
-    raise typer.Exit(code)
-
-
-def _load(settings_file: pathlib.Path) -> settings.EntrySettings:
-    try:
-        checked = settings.load(settings_file, settings.EntrySettings)
-        security.peers_context(checked.security)
-        security.token_key(checked.security)
-    except (settings.SettingsError, OSError) as error:
-        _fail(str(error), USAGE_ERROR)
-    return checked
-
-
-def _fleet(settings_file: pathlib.Path) -> operators.Fleet:
-    checked = _load(settings_file)
-    context = security.client_context(checked.security)
-    return operators.Fleet(checked, context)
-
-
 @_APP.command()
-def serve(settings_file: _SettingsFile) -> None:
+def serve(settings_file: command_options.SettingsFile) -> None:
     """Run an entry node.
 
     Example: camphorstair serve --settings entry.toml
 
     Exit codes: 0 stopped gracefully, 2 the settings are at fault.
     """
-    _load(settings_file)
+    command_options.load(settings_file)
     # The serving process doesn't keep the command line's libraries in memory.
     module = 'camphorstair.serving'
     path = str(settings_file)
     os.execv(sys.executable, [sys.executable, '-m', module, path])
 
 
-@_APP.command()
-def check(rules_file: _RulesFile) -> None:
-    """Check a rules file.
+def _show_difference(lines: list[str]) -> None:
+    for line in lines:
+        typer.echo(line)
 
-    Example: camphorstair check rules.txt
 
-    Exit codes: 0 no fault, 2 faults, each with line and column.
-    """
-    try:
-        text = rules_file.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        _fail(f'{rules_file}: {error}', USAGE_ERROR)
-    faults = rule_reader.parse(text)[1]
-    for fault in faults:
-        typer.echo(f'{rules_file}:{fault}', err=True)
-    if faults:
-        raise typer.Exit(USAGE_ERROR)
-    typer.echo(f'{rules_file}: no fault')
+def _show_note(message: object) -> None:
+    typer.echo(str(message), err=True)
 
 
 @_APP.command()
-def apply(rules_file: _RulesFile, settings_file: _SettingsFile) -> None:
+def apply(
+    rules_path: command_options.RulesFile,
+    settings_file: command_options.SettingsFile,
+    base: command_options.Base = None,
+) -> None:
     """Put a rules file in force everywhere.
 
     Example: camphorstair apply rules.txt --settings entry.toml
 
+    Prints the lines that change, accepts them, and waits until all processes
+    that answer report the revision.
+
     Exit codes: 0 in force everywhere, 2 faults, 3 conflict with another
     change, 4 not known whether it was accepted, 5 accepted but not yet
-    reported by all.
+    reported by all, 6 the platform does not answer and nothing is changed.
     """
-    fleet = _fleet(settings_file)
+    reports = applying.Reports(_show_difference, _show_note, _show_note)
+    fleet = command_options.open_fleet(settings_file)
     try:
-        applied = curio.run(operators.apply, fleet, rules_file)
-    except (operators.RulesError, OSError) as error:
-        _fail(str(error), USAGE_ERROR)
-    except operators.ConflictError as conflict:
-        _fail(str(conflict), CONFLICT)
-    except platform.PlatformError as failure:
-        _fail(f'outcome unknown: {failure}', UNKNOWN_OUTCOME)
-    typer.echo(f'revision {applied.revision} accepted')
+        applied = curio.run(applying.apply, fleet, rules_path, reports, base)
+    except (rules_file.RulesError, configuration_values.TooLargeError) as error:
+        command_options.fail(str(error), command_options.USAGE_ERROR)
+    except acceptance.AcceptanceError as refusal:
+        command_options.fail(str(refusal), _ACCEPTANCE_CODES[type(refusal)])
+    except command_options.UNREADABLE as failure:
+        command_options.fail(
+            f'nothing is changed: {failure}', command_options.NO_PLATFORM
+        )
+    _show_applied(applied)
+
+
+def _show_applied(applied: applying.Applied) -> None:
+    done = 'accepted' if applied.changed else 'is already in force'
+    typer.echo(f'revision {applied.revision} {done}')
+    if applied.silent:
+        names = ', '.join(applied.silent)
+        _show_note(f'no answer from {names}')
     if applied.lacking:
         names = ', '.join(applied.lacking)
-        _fail(f'not yet in force at {names}', NOT_EVERYWHERE)
+        command_options.fail(
+            f'not yet in force at {names}', command_options.NOT_EVERYWHERE
+        )
     typer.echo('in force everywhere')
 
 
 @_APP.command()
-def status(settings_file: _SettingsFile, as_json: _Json = False) -> None:
+def status(
+    settings_file: command_options.SettingsFile,
+    as_json: command_options.Json = False,
+) -> None:
     """Show the state of every process.
 
     Example: camphorstair status --settings entry.toml
@@ -145,9 +132,11 @@
     Exit codes: 0 shown, 2 the VM list can't be read.
     """
     try:
-        found = curio.run(operators.statuses, _fleet(settings_file))
+        found = curio.run(
+            operators.statuses, command_options.open_fleet(settings_file)
+        )
     except vm_list.VmListError as error:
-        _fail(str(error), USAGE_ERROR)
+        command_options.fail(str(error), command_options.USAGE_ERROR)
     if as_json:
         typer.echo(msgspec.json.encode(found))
         return
@@ -167,4 +156,5 @@
 
 def main() -> None:
     """Run the command."""
+    rule_commands.register(_APP)
     _APP()
--- /dev/null
+++ b/packages/entry/src/camphorstair/history_text.py
@@ -0,0 +1,27 @@
+"""The audit trail as text."""
+
+import datetime
+
+from camphorstair_core import changes
+
+
+def entry(change: changes.Change) -> str:
+    """Return one accepted change as lines of text."""
+    moment = datetime.datetime.fromtimestamp(
+        change.at_epoch_s,
+        tz=datetime.UTC,
+    )
+    head = (
+        f'revision {change.revision} from {change.base_revision}'
+        f' by {change.operator or "unknown"} at {moment:%Y-%m-%d %H:%M:%S} UTC'
+        f' change {change.change_id}'
+    )
+    lines = [head]
+    if change.requesters:
+        lines.append(f'  asked for by: {"; ".join(change.requesters)}')
+    if change.note:
+        lines.append(f'  {change.note}')
+    lines.extend(f'  {line}' for line in change.changed_lines())
+    if change.omitted:
+        lines.append(f'  and {change.omitted} lines more')
+    return '\n'.join(lines)
--- a/packages/entry/src/camphorstair/operators.py
+++ b/packages/entry/src/camphorstair/operators.py
@@ -1,14 +1,10 @@
 """What operators do: apply rules, and ask all processes for their state."""
 
-import pathlib
-import uuid
-
 import attrs
 import curio
 
-from camphorstair_core import configuration, messages, rule_reader, vms
+from camphorstair_core import messages, vms
 from camphorstair_runtime import (
-    configuration_store,
     links,
     peers,
     platform,
@@ -17,8 +13,7 @@
 )
 
 STATUS_LIMIT_S = 1.0
-SPREAD_LIMIT_S = 5.0
-SPREAD_INTERVAL_S = 0.2
+ASKED_AT_ONCE = 64
 
 
 @attrs.define
@@ -38,77 +33,69 @@
 
 
 @attrs.define
-class Applied:
-    """Outcome of an apply.
+class Answers:
+    """What the processes of the VM list said of themselves.
 
-    :ivar revision: The new revision.
-    :ivar lacking: Names of processes that have not reported it.
+    :ivar found: The states of those that answered.
+    :ivar silent: The names of the others.
     """
 
-    revision: int
-    lacking: list[str]
-
+    found: list[messages.NodeStatus] = attrs.field(factory=list)
+    silent: list[str] = attrs.field(factory=list)
 
-class ConflictError(Exception):
-    """Another change came between reading and writing."""
+    def lacking(self, revision: int) -> list[str]:
+        """Return who answered and has not reported a revision."""
+        return sorted(one.node for one in self.found if one.revision < revision)
 
-
-class RulesError(Exception):
-    """The rules have faults; the text has a line for each."""
+    def refusals(self) -> list[str]:
+        """Return who refused a configuration, and why."""
+        return [
+            f'{one.node}: {one.refused}' for one in self.found if one.refused
+        ]
 
 
 async def statuses(fleet: Fleet) -> list[messages.NodeStatus]:
     """Ask every process of the VM list for its state."""
-    listed = await vm_list.read(fleet.checked.platform.vm_list)
-    group = curio.TaskGroup()
-    async with group:
-        for vm in listed:
-            await group.spawn(_status, fleet, vm)
-    return [found for found in group.results if found is not None]
+    return (await ask_all(fleet)).found
+
 
+async def ask_all(fleet: Fleet) -> Answers:
+    """Ask every process of the VM list for its state.
 
-async def _status(fleet: Fleet, vm: vms.Vm) -> messages.NodeStatus | None:
+    :raises vm_list.VmListError: if the list can't be read.
+    """
+    listed = await vm_list.read(fleet.checked.platform.vm_list)
+    answers = Answers()
+    allowed = curio.Semaphore(ASKED_AT_ONCE)
+    async with curio.TaskGroup() as group:
+        for vm in listed:
+            await group.spawn(_ask, fleet, vm, answers, allowed)
+    return answers
+
+
+async def _ask(
+    fleet: Fleet,
+    vm: vms.Vm,
+    answers: Answers,
+    allowed: curio.Semaphore,
+) -> None:
+    async with allowed:
+        reply = await call(fleet, vm, messages.StatusRequest(), STATUS_LIMIT_S)
+    if isinstance(reply, messages.NodeStatus):
+        answers.found.append(reply)
+    else:
+        answers.silent.append(vm.name)
+
+
+async def call(
+    fleet: Fleet,
+    vm: vms.Vm,
+    message: object,
+    limit_s: float,
+) -> object:
+    """Return the answer of a VM's process, or None."""
+    address = settings.split_address(vm.peers_address)
     try:
-        reply = await peers.call(
-            settings.split_address(vm.peers_address),
-            fleet.context,
-            messages.StatusRequest(),
-            STATUS_LIMIT_S,
-        )
+        return await peers.call(address, fleet.context, message, limit_s)
     except links.LinkError:
         return None
-    return reply if isinstance(reply, messages.NodeStatus) else None
-
-
-async def apply(fleet: Fleet, path: pathlib.Path) -> Applied:
-    """Accept a rules file and wait until all processes have it.
-
-    :param fleet: How to reach the fleet.
-    :param path: The rules file.
-    :raises RulesError: if the file has faults; nothing is changed.
-    :raises ConflictError: if another change came first.
-    :raises platform.PlatformError: if it is not known whether it is accepted.
-    """
-    text = path.read_text(encoding='utf-8')
-    faults = rule_reader.parse(text)[1]
-    if faults:
-        raise RulesError('\n'.join(f'{path}:{fault}' for fault in faults))
-    client = fleet.client()
-    stored = await configuration_store.read(client)
-    revision = stored.current.revision + 1 if stored.current else 1
-    changed = configuration.Configuration(revision, uuid.uuid4().hex, text)
-    if not await configuration_store.write(client, stored, changed):
-        raise ConflictError(f'revision {revision} was taken by another change')
-    return Applied(revision, await _wait_spread(fleet, revision))
-
-
-async def _wait_spread(fleet: Fleet, revision: int) -> list[str]:
-    lacking: list[str] = []
-    async with curio.ignore_after(SPREAD_LIMIT_S):
-        while True:
-            found = await statuses(fleet)
-            lacking = [one.node for one in found if one.revision < revision]
-            if not lacking:
-                break
-            await curio.sleep(SPREAD_INTERVAL_S)
-    return lacking
--- a/packages/runtime/src/camphorstair_runtime/following.py
+++ b/packages/runtime/src/camphorstair_runtime/following.py
@@ -6,11 +6,11 @@
 
 import attrs
 import curio
-import msgspec
 
 from camphorstair_core import configuration, messages, vms
 from camphorstair_runtime import (
     configuration_store,
+    configuration_values,
     links,
     node,
     peers,
@@ -77,7 +77,10 @@
     async def _read_platform(self) -> None:
         try:
             stored = await configuration_store.read(self.client)
-        except (platform.PlatformError, msgspec.DecodeError) as error:
+        except (
+            platform.PlatformError,
+            configuration_values.StoreError,
+        ) as error:
             _LOG.warning('platform: %s', error)
             await self._read_peer()
             return
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -8,7 +8,7 @@
 import attrs
 import curio
 
-from camphorstair_core import messages
+from camphorstair_core import configuration, messages
 from camphorstair_runtime import links, node
 
 _LOG = logging.getLogger(__name__)
@@ -33,6 +33,7 @@
         service=service,
         memory_bytes=usage.ru_maxrss * _KIB,
         processor_s=time.process_time(),
+        refused=state.holder.refused,
     )
 
 
@@ -40,10 +41,21 @@
     state: node.NodeState,
     request: messages.ConfigurationRequest,
 ) -> messages.ConfigurationReply:
-    """Return the configuration in force if the asker's is older."""
+    """Return the configuration in force if the asker's is older.
+
+    As deltas, if the asker's revision is recent.
+    """
     current = state.holder.current
     if current is None or current.revision <= request.above_revision:
         return messages.ConfigurationReply(state.holder.revision())
+    above = request.above_revision
+    recent = configuration.changes_above(state.holder, above)
+    if above and recent:
+        return messages.ConfigurationReply(
+            current.revision,
+            current.change_id,
+            deltas=recent,
+        )
     return messages.ConfigurationReply(
         current.revision,
         current.change_id,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,55 +1,21 @@
 """Leases and fencing numbers, against the stand-in on loopback."""
 
-import typing
-from collections import abc
-
-import attrs
-import curio
 import pytest
 
-from camphorstair_runtime import http_server, leases, platform, settings
-from camphorstair_standins import key_value, key_value_store, loopback
+from camphorstair_runtime import leases, platform
+from camphorstair_standins import key_value_bench
 
 TTL_S = 10
-Body = abc.Callable[[platform.PlatformClient], abc.Awaitable[typing.Any]]
-
-
-@attrs.define
-class Bench:
-    """A stand-in and the clock that it and the holders share."""
-
-    now_s: float = 100
-    service: key_value.KeyValueService = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        store = key_value_store.Store(self.clock)
-        self.service = key_value.KeyValueService(store)
-
-    def clock(self) -> float:
-        return self.now_s
-
-    def run(self, body: Body, members: int = 1) -> typing.Any:
-        return curio.run(self._run, body, members)
-
-    async def _run(self, body: Body, members: int) -> typing.Any:
-        addresses = [loopback.free_address() for _ in range(members)]
-        server = http_server.Server(self.service.handle)
-        async with curio.TaskGroup(wait=any) as group:
-            for address in addresses:
-                host, port = settings.split_address(address)
-                await group.spawn(curio.tcp_server, host, port, server.serve)
-            await curio.sleep(0)
-            outcome = await body(platform.PlatformClient(addresses))
-            await group.cancel_remaining()
-        return outcome
 
 
 @pytest.fixture
-def bench() -> Bench:
-    return Bench()
+def bench() -> key_value_bench.Bench:
+    return key_value_bench.Bench()
 
 
-def test_one_holder_at_a_time_and_numbers_rise(bench: Bench) -> None:
+def test_one_holder_at_a_time_and_numbers_rise(
+    bench: key_value_bench.Bench,
+) -> None:
     async def body(client: platform.PlatformClient) -> None:
         first = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
         assert first is not None
@@ -65,7 +31,7 @@
 
 
 def test_a_paused_holder_notices_before_the_platform_ends_it(
-    bench: Bench,
+    bench: key_value_bench.Bench,
 ) -> None:
     async def body(client: platform.PlatformClient) -> None:
         first = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
@@ -81,7 +47,9 @@
     bench.run(body)
 
 
-def test_the_deadline_counts_from_before_the_renewal(bench: Bench) -> None:
+def test_the_deadline_counts_from_before_the_renewal(
+    bench: key_value_bench.Bench,
+) -> None:
     async def body(client: platform.PlatformClient) -> None:
         lease = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
         assert lease is not None
@@ -92,7 +60,9 @@
     bench.run(body)
 
 
-def test_a_lost_answer_does_not_lose_the_lease(bench: Bench) -> None:
+def test_a_lost_answer_does_not_lose_the_lease(
+    bench: key_value_bench.Bench,
+) -> None:
     async def body(client: platform.PlatformClient) -> None:
         bench.service.faults.lost_answers = 1
         lease = await leases.acquire(client, 'plan', 'a', TTL_S, bench.clock)
@@ -102,7 +72,9 @@
     bench.run(body)
 
 
-def test_a_number_seen_elsewhere_is_exceeded(bench: Bench) -> None:
+def test_a_number_seen_elsewhere_is_exceeded(
+    bench: key_value_bench.Bench,
+) -> None:
     async def body(client: platform.PlatformClient) -> int:
         lease = await leases.acquire(
             client, 'plan', 'a', TTL_S, bench.clock, above=41
@@ -113,7 +85,7 @@
 
 
 def test_a_write_that_may_be_done_is_not_sent_to_another_member(
-    bench: Bench,
+    bench: key_value_bench.Bench,
 ) -> None:
     async def body(client: platform.PlatformClient) -> None:
         bench.service.faults.lost_answers = 1
@@ -125,7 +97,7 @@
 
 
 def test_a_watch_reports_a_change_and_breaks_in_an_outage(
-    bench: Bench,
+    bench: key_value_bench.Bench,
 ) -> None:
     async def body(client: platform.PlatformClient) -> None:
         watch = await client.watch('key', 1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,17 @@
 """The rules file: faults with their place, and routes."""
 
+import attrs
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from camphorstair_core import errors, routing, rule_reader
+from camphorstair_core import (
+    errors,
+    explanations,
+    routing,
+    rule_reader,
+    rule_warnings,
+)
 from camphorstair_standins import sites
 
 
@@ -24,7 +33,10 @@
             'organisation name=a in_flight=-1  # me',
             '1:21: in_flight must be a whole number above 0, not "-1"',
         ),
-        ('route path=/x service=absent  # me', '1:1: unknown service "absent"'),
+        (
+            'route path=/x service=absent  # me',
+            '1:15: unknown service "absent"',
+        ),
         (
             'service name=a kind=plain in_flight=1 cold_in_flight=2  # me',
             '1:39: cold_in_flight 2 is above 1',
@@ -66,3 +78,157 @@
     with pytest.raises(errors.RequestError) as refusal:
         routing.decide(rule_set, organisation, 'POST', path, model)
     assert refusal.value.code is code
+
+
+SERVICE = 'service name=s kind=plain in_flight=2 cold_in_flight=1  # me\n'
+ROUTE = 'route path=/a* service=s  # me\n'
+
+
+@pytest.mark.parametrize(
+    ('line', 'fault'),
+    [
+        ('model name=m service=ss  # me', '3:14: unknown service "ss", did'),
+        (
+            f'organisation name=a in_flight={"9" * 5000}  # me',
+            '3:21: in_flight must be a whole number',
+        ),
+    ],
+)
+def test_a_fault_names_its_column(line: str, fault: str) -> None:
+    faults = rule_reader.parse(f'{SERVICE}{ROUTE}{line}')[1]
+    assert str(faults[0]).startswith(fault)
+
+
+@pytest.mark.parametrize(
+    ('line', 'warning'),
+    [
+        ('route path=/ab service=s  # me', 'route never applies: line 2'),
+        ('route path=/ab* method=GET service=s  # me', 'route never applies'),
+        (
+            'service name=t kind=plain in_flight=2 cold_in_flight=1  # me',
+            'no route or model leads to service "t"',
+        ),
+        ('model name=m service=s  # me', 'model "m" is never asked for'),
+        (
+            'out data_centre=charni  # me',
+            'unknown data centre "charni", did you mean "charny"?',
+        ),
+        (
+            'out endpoint=yard-2  # me',
+            'unknown endpoint "yard-2", did you mean "yard-1"?',
+        ),
+        ('fencing endpoint=e2 checked=yes  # me', 'unknown endpoint "e2"'),
+        (
+            'limit endpoint=x in_flight=2 cold_in_flight=1  # me',
+            'unknown endpoint "x"',
+        ),
+    ],
+)
+def test_a_rule_that_can_never_apply_is_a_warning(
+    line: str,
+    warning: str,
+) -> None:
+    known = rule_warnings.KnownNames(['charny'], ['yard-1'])
+    rule_set, faults = rule_reader.parse(f'{SERVICE}{ROUTE}{line}')
+    assert not faults
+    found = rule_warnings.find(rule_set, known)
+    assert [one.line for one in found] == [3]
+    assert found[0].message.startswith(warning)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'route path=/a* service=s organisation=o  # me',
+        'route path=/ab service=s method=GET  # me',
+    ],
+)
+def test_a_narrower_route_first_shadows_nothing(line: str) -> None:
+    rule_set = rule_reader.parse(f'{SERVICE}{line}\n{ROUTE}')[0]
+    assert not rule_warnings.find(rule_set)
+
+
+def test_a_route_may_be_for_one_organisation_and_model() -> None:
+    rule_set, faults = rule_reader.parse(
+        f'{SERVICE}{SERVICE.replace("name=s", "name=t")}'
+        'organisation name=o in_flight=1  # me\n'
+        'organisation name=p in_flight=1  # me\n'
+        'route path=/a service=t organisation=o model=m  # me\n'
+        f'{ROUTE}'
+    )
+    assert not faults
+    for organisation, model, service in (
+        ('o', 'm', 't'),
+        ('o', 'n', 's'),
+        ('p', 'm', 's'),
+    ):
+        found = routing.decide(rule_set, organisation, 'GET', '/a', model)
+        assert found.service.name == service
+
+
+def test_explain_names_the_lines_that_decide() -> None:
+    rule_set = rule_reader.parse(sites.LEVIS_RULES)[0]
+    lines = sites.LEVIS_RULES.split('\n')
+    request = explanations.Request(
+        'gravier', 'POST', '/v1/chat/completions', 'redacteur-8b'
+    )
+    steps = explanations.explain(rule_set, request)
+    verbs = [lines[step.line - 1].split(' ')[0] for step in steps]
+    assert verbs[:2] == ['organisation', 'route']
+    absent = explanations.Request('gravier', 'GET', '/absent')
+    last = explanations.explain(rule_set, absent)[-1]
+    assert last.line == 0
+    assert 'no route for GET /absent' in last.reason
+
+
+WORDS = st.sampled_from(
+    [
+        'service',
+        'model',
+        'route',
+        'out',
+        'limit',
+        'organisation',
+        'fencing',
+        'name=s',
+        'kind=plain',
+        'in_flight=3',
+        'cold_in_flight=1',
+        'service=s',
+        'path=/a*',
+        'data_centre=x',
+        'endpoint=e',
+        'checked=yes',
+        'repeat=never',
+        '=',
+        '#',
+        '# me',
+        '\u2028',
+        '\x1c',
+        '\r',
+    ],
+)
+LINE = st.lists(WORDS | st.text(max_size=4), max_size=7).map(' '.join)
+
+
+@given(st.lists(LINE, max_size=6).map('\n'.join))
+def test_the_reader_never_crashes_and_each_fault_has_a_place(
+    text: str,
+) -> None:
+    lines = text.split('\n')
+    rule_set, faults = rule_reader.parse(text)
+    for fault in faults:
+        assert 1 <= fault.line <= len(lines)
+        assert 1 <= fault.column <= len(lines[fault.line - 1]) + 1
+    rule_warnings.find(rule_set)
+    request = explanations.Request('s', 'GET', '/a')
+    explanations.explain(rule_set, request)
+
+
+@given(st.lists(LINE, max_size=6).map('\n'.join))
+def test_reading_is_per_line(text: str) -> None:
+    """A comment between rules changes no rule but its line number."""
+    first = rule_reader.parse(text)[1]
+    second = rule_reader.parse(f'# a comment\n{text}')[1]
+    moved = [attrs.evolve(fault, line=fault.line + 1) for fault in first]
+    assert list(map(str, second)) == list(map(str, moved))
