Start serving processes without unused libraries and docstrings

Cause: an idle entry took 34.8 MiB (36.4 MB) against 32 MB; curio names asyncio for a bridge, the OpenTelemetry SDK reads psutil where it is installed, and docstrings stay in memory. Change: both binaries become, by exec, a launcher that leaves asyncio and psutil out and runs with -OO; set-up compiles for it.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PACKAGES := core runtime entry agent standins
 SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
 CHECKED := $(SOURCES) measures specs tests tools
+# What the serving processes import, compiled without docstrings.
+LIBRARIES := curio h11 attr attrs msgspec opentelemetry prometheus_client typing_extensions.py
 PYTHON := .venv/bin/python
 space := $(subst ,, )
 export PYTHONPATH := $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source))):$(CURDIR)
@@ -15,6 +17,7 @@
 	test -x $(PYTHON) || python3.11 -m venv .venv
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach package,$(PACKAGES),-e packages/$(package))
+	$(PYTHON) -m compileall -q -o 2 $(foreach library,$(LIBRARIES),.venv/lib/python3.11/site-packages/$(library)) $(SOURCES)
 	touch $@
 
 demo: setup
--- a/packages/agent/src/camphorstair_agent/command_line.py
+++ b/packages/agent/src/camphorstair_agent/command_line.py
@@ -1,13 +1,11 @@
 """The command ``camphorstair-agent``."""
 
-import os
 import pathlib
-import sys
 import typing
 
 import typer
 
-from camphorstair_runtime import security, settings
+from camphorstair_runtime import launcher, security, settings
 
 USAGE_ERROR = 2
 
@@ -33,10 +31,7 @@
     except (settings.SettingsError, OSError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(USAGE_ERROR) from error
-    # The serving process doesn't keep the command line's libraries in memory.
-    module = 'camphorstair_agent.serving'
-    path = str(settings_file)
-    os.execv(sys.executable, [sys.executable, '-m', module, path])
+    launcher.replace_process('camphorstair_agent.serving', str(settings_file))
 
 
 def main() -> None:
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -1,9 +1,8 @@
-"""Runs the agent: ``python -m camphorstair_agent.serving FILE``."""
+"""Runs the agent."""
 
 import logging
 import pathlib
 import random
-import sys
 
 import attrs
 import curio
@@ -120,7 +119,3 @@
     checked = settings.load(pathlib.Path(path), settings.AgentSettings)
     logs.set_up(checked.node.name, checked.logging.level)
     curio.run(run, build(checked))
-
-
-if __name__ == '__main__':
-    main(sys.argv[1])
--- a/packages/entry/src/camphorstair/command_line.py
+++ b/packages/entry/src/camphorstair/command_line.py
@@ -1,8 +1,6 @@
 """The command ``camphorstair``."""
 
-import os
 import pathlib
-import sys
 import typing
 from importlib import metadata
 
@@ -12,7 +10,7 @@
 
 from camphorstair import operators
 from camphorstair_core import messages, rule_reader
-from camphorstair_runtime import platform, security, settings, vm_list
+from camphorstair_runtime import launcher, platform, security, settings, vm_list
 
 USAGE_ERROR = 2
 CONFLICT = 3
@@ -84,10 +82,7 @@
     Exit codes: 0 stopped gracefully, 2 the settings are at fault.
     """
     _load(settings_file)
-    # The serving process doesn't keep the command line's libraries in memory.
-    module = 'camphorstair.serving'
-    path = str(settings_file)
-    os.execv(sys.executable, [sys.executable, '-m', module, path])
+    launcher.replace_process('camphorstair.serving', str(settings_file))
 
 
 @_APP.command()
--- a/packages/entry/src/camphorstair/serving.py
+++ b/packages/entry/src/camphorstair/serving.py
@@ -1,9 +1,8 @@
-"""Runs an entry: ``python -m camphorstair.serving FILE``."""
+"""Runs an entry."""
 
 import logging
 import pathlib
 import random
-import sys
 
 import curio
 
@@ -100,7 +99,3 @@
     checked = settings.load(pathlib.Path(path), settings.EntrySettings)
     logs.set_up(checked.node.name, checked.logging.level)
     curio.run(run, build(checked))
-
-
-if __name__ == '__main__':
-    main(sys.argv[1])
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -1,6 +1,7 @@
 """Answers what other processes of the system ask."""
 
 import logging
+import pathlib
 import resource
 import time
 from collections import abc
@@ -12,7 +13,7 @@
 from camphorstair_runtime import links, node
 
 _LOG = logging.getLogger(__name__)
-_KIB = 1024
+_STATM = pathlib.Path('/proc/self/statm')
 
 LinkHandler = abc.Callable[
     [links.Link, messages.RequestStart],
@@ -22,7 +23,6 @@
 
 def status(state: node.NodeState, service: str = '') -> messages.NodeStatus:
     """Return the state of this process."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
     return messages.NodeStatus(
         node=state.identity.name,
         role=state.role.value,
@@ -31,11 +31,16 @@
         leaving=state.leaving,
         load=state.load,
         service=service,
-        memory_bytes=usage.ru_maxrss * _KIB,
+        memory_bytes=_resident_bytes(),
         processor_s=time.process_time(),
     )
 
 
+def _resident_bytes() -> int:
+    pages = int(_STATM.read_text(encoding='ascii').split()[1])
+    return pages * resource.getpagesize()
+
+
 def configuration_reply(
     state: node.NodeState,
     request: messages.ConfigurationRequest,
