Measure the request path under the load of the target

Cause: one stream with a chunk a millisecond wakes the process for each chunk and says little of 3,784 chunks a second over many streams; 32 streams started at once queue and hide the time that one request adds to its first token. Change: 32 streams with a chunk each 8 ms for processor time, single requests for the first token.

--- a/measures/request_path.py
+++ b/measures/request_path.py
@@ -9,14 +9,15 @@
 import curio
 
 from camphorstair_core import messages, vms
-from camphorstair_runtime import peers, settings
+from camphorstair_runtime import http_client, http_messages, peers, settings
 from camphorstair_standins import fleet, loopback, sites
 from measures import reports
 
 ORGANISATION = 'gravier'
-REQUESTS = 5
-TOKENS = 400
-TOKEN_INTERVAL_S = 0.001
+STREAMS = 32
+SINGLES = 3
+TOKENS = 300
+TOKEN_INTERVAL_S = 0.008
 US_IN_S = 1_000_000
 BYTES_IN_MB = 1_000_000
 CALL_LIMIT_S = 2.0
@@ -25,7 +26,7 @@
 MEMORY_TARGET_MB = 32
 
 _RULES = """\
-service name=redacteur kind=engine in_flight=16 cold_in_flight=8  # measures
+service name=redacteur kind=engine in_flight=64 cold_in_flight=64  # measures
 model name=redacteur-8b service=redacteur                         # measures
 organisation name=gravier in_flight=400                           # measures
 route path=/v1/chat/completions service=redacteur                 # measures
@@ -53,15 +54,17 @@
     entry = running.entries[0]
     agent = running.agents[0]
     idle = (_status(entry), _status(agent))
-    _stream(running, entry.callers_address)
+    _stream_many(running, entry.callers_address)
     before = (_status(entry), _status(agent))
-    through = _first_bytes_s(running, entry.callers_address)
+    _stream_many(running, entry.callers_address)
     after = (_status(entry), _status(agent))
-    direct = _first_bytes_s(running, running.endpoint_addresses[agent.name])
+    through = _single_s(running, entry.callers_address)
+    direct = _single_s(running, running.endpoint_addresses[agent.name])
     added_s = statistics.median(through) - statistics.median(direct)
     figures = {
         'entry_idle_mb': idle[0].memory_bytes / BYTES_IN_MB,
         'agent_idle_mb': idle[1].memory_bytes / BYTES_IN_MB,
+        'entry_loaded_mb': after[0].memory_bytes / BYTES_IN_MB,
         'entry_us_per_chunk': _chunk_us(before[0], after[0]),
         'agent_us_per_chunk': _chunk_us(before[1], after[1]),
         'first_token_ratio': statistics.median(through)
@@ -81,7 +84,7 @@
     after: messages.NodeStatus,
 ) -> float:
     spent_s = after.processor_s - before.processor_s
-    return spent_s * US_IN_S / (REQUESTS * TOKENS)
+    return spent_s * US_IN_S / (STREAMS * TOKENS)
 
 
 def _status(vm: vms.Vm) -> messages.NodeStatus:
@@ -97,21 +100,37 @@
     return reply
 
 
-def _first_bytes_s(running: fleet.Fleet, address: str) -> list[float]:
-    return [_stream(running, address) for _ in range(REQUESTS)]
+def _stream_many(running: fleet.Fleet, address: str) -> None:
+    """Stream answers side by side."""
+    curio.run(_stream_side_by_side, address, running.token(ORGANISATION))
 
 
-def _stream(running: fleet.Fleet, address: str) -> float:
-    """Stream an answer; return the time to its first byte."""
+def _single_s(running: fleet.Fleet, address: str) -> list[float]:
+    """Stream answers one by one; return each time to the first byte."""
+    token = running.token(ORGANISATION)
+    return [curio.run(_stream, address, token) for _ in range(SINGLES)]
+
+
+async def _stream_side_by_side(address: str, token: str) -> None:
+    async with curio.TaskGroup() as group:
+        for _ in range(STREAMS):
+            await group.spawn(_stream, address, token)
+
+
+async def _stream(address: str, token: str) -> float:
     body = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
-    headers = {'authorization': f'Bearer {running.token(ORGANISATION)}'}
-    start_s = time.perf_counter()
-    answer = loopback.http_call(
-        address,
+    request = http_messages.Request(
+        'POST',
         '/v1/chat/completions',
+        [('authorization', f'Bearer {token}')],
         json.dumps(body).encode(),
-        headers,
     )
-    if not answer.body.rstrip().endswith(b'[DONE]'):
-        raise loopback.WaitError('the answer is not whole')
-    return answer.first_byte_s - start_s
+    start_s = time.perf_counter()
+    exchange = await http_client.open_exchange(address, request)
+    first = await exchange.read() or b''
+    first_byte_s = time.perf_counter()
+    answer = first + await exchange.read_all()
+    await exchange.close()
+    if not answer.rstrip().endswith(b'[DONE]'):
+        raise loopback.WaitError(f'the answer is not whole: {answer!r}')
+    return first_byte_s - start_s
