--- a/measures/request_path.py
+++ b/measures/request_path.py
@@ -2,26 +2,31 @@
 
 import json
 import pathlib
+import statistics
 import tempfile
 import time
 
-import psutil
+import curio
 
-from camphorstair_core import vms
+from camphorstair_core import messages, vms
+from camphorstair_runtime import http_client, http_messages, peers, settings
 from camphorstair_standins import fleet, loopback, sites
 from measures import reports
 
 ORGANISATION = 'gravier'
-REQUESTS = 20
-TOKENS = 400
+STREAMS = 32
+SINGLES = 3
+TOKENS = 300
+TOKEN_INTERVAL_S = 0.008
 US_IN_S = 1_000_000
-MIB = 1_048_576
+BYTES_IN_MB = 1_000_000
+CALL_LIMIT_S = 2.0
 
 ENTRY_TARGET_US = 130
-MEMORY_TARGET_MIB = 32
+MEMORY_TARGET_MB = 32
 
 _RULES = """\
-service name=redacteur kind=engine in_flight=16 cold_in_flight=8  # measures
+service name=redacteur kind=engine in_flight=64 cold_in_flight=64  # measures
 model name=redacteur-8b service=redacteur                         # measures
 organisation name=gravier in_flight=400                           # measures
 route path=/v1/chat/completions service=redacteur                 # measures
@@ -34,9 +39,10 @@
     :param seed: Not used: the load is the same each time.
     """
     site = sites.Site('qc-est', ('levis-nord',), 1, {'redacteur': 1}, _RULES)
+    behaviour = {'tokens': TOKENS, 'token_interval_s': TOKEN_INTERVAL_S}
     with tempfile.TemporaryDirectory() as directory:
         running = fleet.Fleet(pathlib.Path(directory), site)
-        running.engine_settings = f'{{"tokens":{TOKENS},"token_interval_s":0}}'
+        running.engine_settings = json.dumps(behaviour)
         try:
             running.start()
             return _measure(running, seed)
@@ -45,52 +51,86 @@
 
 
 def _measure(running: fleet.Fleet, seed: int) -> reports.Report:
-    entry = _process(running, vms.VmRole.entry)
-    agent = _process(running, vms.VmRole.agent)
+    entry = running.entries[0]
+    agent = running.agents[0]
+    idle = (_status(entry), _status(agent))
+    _stream_many(running, entry.callers_address)
+    before = (_status(entry), _status(agent))
+    _stream_many(running, entry.callers_address)
+    after = (_status(entry), _status(agent))
+    through = _single_s(running, entry.callers_address)
+    direct = _single_s(running, running.endpoint_addresses[agent.name])
+    added_s = statistics.median(through) - statistics.median(direct)
     figures = {
-        'entry_idle_mib': entry.memory_info().rss / MIB,
-        'agent_idle_mib': agent.memory_info().rss / MIB,
+        'entry_idle_mb': idle[0].memory_bytes / BYTES_IN_MB,
+        'agent_idle_mb': idle[1].memory_bytes / BYTES_IN_MB,
+        'entry_loaded_mb': after[0].memory_bytes / BYTES_IN_MB,
+        'entry_us_per_chunk': _chunk_us(before[0], after[0]),
+        'agent_us_per_chunk': _chunk_us(before[1], after[1]),
+        'first_token_ratio': statistics.median(through)
+        / statistics.median(direct),
+        'first_token_added_ms': added_s * 1000,
     }
-    address = running.entries[0].callers_address
-    engine = running.endpoint_addresses[running.agents[0].name]
-    _stream(running, address)
-    before = (_processor_s(entry), _processor_s(agent))
-    through_s = min(_stream(running, address) for _ in range(REQUESTS))
-    after = (_processor_s(entry), _processor_s(agent))
-    direct_s = min(_stream(running, engine) for _ in range(REQUESTS))
-    chunks = REQUESTS * TOKENS
-    figures['entry_us_per_chunk'] = (after[0] - before[0]) * US_IN_S / chunks
-    figures['agent_us_per_chunk'] = (after[1] - before[1]) * US_IN_S / chunks
-    figures['first_token_ratio'] = through_s / direct_s
     targets = [
         reports.Target('entry_us_per_chunk', at_most=ENTRY_TARGET_US),
-        reports.Target('entry_idle_mib', at_most=MEMORY_TARGET_MIB),
-        reports.Target('agent_idle_mib', at_most=MEMORY_TARGET_MIB),
+        reports.Target('entry_idle_mb', at_most=MEMORY_TARGET_MB),
+        reports.Target('agent_idle_mb', at_most=MEMORY_TARGET_MB),
     ]
     return reports.Report('request_path', seed, figures, targets=targets)
 
 
-def _process(running: fleet.Fleet, role: vms.VmRole) -> psutil.Process:
-    vm = next(vm for vm in running.listed if vm.role is role)
-    return psutil.Process(running.processes.rows[vm.name].pid)
+def _chunk_us(
+    before: messages.NodeStatus,
+    after: messages.NodeStatus,
+) -> float:
+    spent_s = after.processor_s - before.processor_s
+    return spent_s * US_IN_S / (STREAMS * TOKENS)
 
 
-def _processor_s(process: psutil.Process) -> float:
-    times = process.cpu_times()
-    return float(times.user + times.system)
+def _status(vm: vms.Vm) -> messages.NodeStatus:
+    reply = curio.run(
+        peers.call,
+        settings.split_address(vm.peers_address),
+        None,
+        messages.StatusRequest(),
+        CALL_LIMIT_S,
+    )
+    if not isinstance(reply, messages.NodeStatus):
+        raise loopback.WaitError(f'{vm.name} did not answer')
+    return reply
+
+
+def _stream_many(running: fleet.Fleet, address: str) -> None:
+    """Stream answers side by side."""
+    curio.run(_stream_side_by_side, address, running.token(ORGANISATION))
+
+
+def _single_s(running: fleet.Fleet, address: str) -> list[float]:
+    """Stream answers one by one; return each time to the first byte."""
+    token = running.token(ORGANISATION)
+    return [curio.run(_stream, address, token) for _ in range(SINGLES)]
 
 
-def _stream(running: fleet.Fleet, address: str) -> float:
-    """Stream an answer and return the time to its first byte."""
+async def _stream_side_by_side(address: str, token: str) -> None:
+    async with curio.TaskGroup() as group:
+        for _ in range(STREAMS):
+            await group.spawn(_stream, address, token)
+
+
+async def _stream(address: str, token: str) -> float:
     body = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
-    headers = {'authorization': f'Bearer {running.token(ORGANISATION)}'}
-    start_s = time.perf_counter()
-    answer = loopback.http_call(
-        address,
+    request = http_messages.Request(
+        'POST',
         '/v1/chat/completions',
+        [('authorization', f'Bearer {token}')],
         json.dumps(body).encode(),
-        headers,
     )
-    if not answer.body.rstrip().endswith(b'[DONE]'):
-        raise loopback.WaitError('the answer is not whole')
-    return answer.first_byte_s - start_s
+    start_s = time.perf_counter()
+    exchange = await http_client.open_exchange(address, request)
+    first = await exchange.read() or b''
+    first_byte_s = time.perf_counter()
+    answer = first + await exchange.read_all()
+    await exchange.close()
+    if not answer.rstrip().endswith(b'[DONE]'):
+        raise loopback.WaitError(f'the answer is not whole: {answer!r}')
+    return first_byte_s - start_s
--- a/packages/entry/src/camphorstair/command_line.py
+++ b/packages/entry/src/camphorstair/command_line.py
@@ -1,7 +1,5 @@
 """The command ``camphorstair``."""
 
-import os
-import sys
 import types
 import typing
 from importlib import metadata
@@ -19,7 +17,7 @@
     rules_file,
 )
 from camphorstair_core import messages
-from camphorstair_runtime import configuration_values, vm_list
+from camphorstair_runtime import configuration_values, launcher, vm_list
 
 _APP = typer.Typer(
     add_completion=False,
@@ -59,10 +57,7 @@
     Exit codes: 0 stopped gracefully, 2 the settings are at fault.
     """
     command_options.load(settings_file)
-    # The serving process doesn't keep the command line's libraries in memory.
-    module = 'camphorstair.serving'
-    path = str(settings_file)
-    os.execv(sys.executable, [sys.executable, '-m', module, path])
+    launcher.replace_process('camphorstair.serving', str(settings_file))
 
 
 def _show_difference(lines: list[str]) -> None:
