Spread the configuration by a watch at two entries a data centre

Cause: two entries of each data centre read the whole value twice a second, every process read the VM list twice a second, and the others opened a connection for each question and got a whole copy for each change.

Ruled out: a watch alone (one that broke in silence is never noticed; a plain read every 2 s finds it out); following only the watchers of one's own data centre (a data centre cut off from the platform would stay behind); reading a long VM list every 2 s (at 970 VMs about 95 KB a second for each watcher; it is read at no more than 2,000 bytes a second, its changes pass between processes).

Change: `watching.py` holds one waiting watch on the head and takes deltas; `following.py` compares revisions with one peer at each interval over a link that is kept, watchers with another data centre; a process that starts asks three; deltas instead of copies for a recent asker; revisions in requests, refusals and greetings of peers trigger a comparison at once; a budget of calls and jittered backoff (`core/call_pace.py`). Messages 40 and 41 pass changes of the VM list. Rules are read in slices of 200 lines, so that other tasks run in between.

Figures: tests with a clock passed in restart 370 entries in 8 data centres at once with the platform down for 120 s: 16 processes call it, at most 4 calls each in a second, below 16 calls a second in all from 30 s on.

--- a/packages/core/src/camphorstair_core/configuration.py
+++ b/packages/core/src/camphorstair_core/configuration.py
@@ -34,12 +34,14 @@
     :ivar current: The configuration, or None before the first.
     :ivar rule_set: Its rules.
     :ivar refused: Why the last newer one was refused, else empty.
+    :ivar refused_id: Identifier of the change refused, else empty.
     :ivar recent: The changes that led to the current one without a gap.
     """
 
     current: Configuration | None = None
     rule_set: rules.RuleSet = attrs.field(factory=rules.RuleSet)
     refused: str = ''
+    refused_id: str = ''
     recent: collections.deque[changes.Change] = attrs.field(
         factory=_new_recent,
     )
@@ -49,26 +51,82 @@
         return self.current.revision if self.current else 0
 
 
-def offer(holder: ConfigurationHolder, offered: Configuration) -> bool:
-    """Put a configuration in force if it is newer and has no fault.
+def admit(
+    holder: ConfigurationHolder,
+    offered: Configuration,
+    reading: rule_reader.Reading,
+    led_by: list[changes.Change] | None = None,
+) -> bool:
+    """Put a configuration that was read in force if it may be.
 
     :param holder: What is in force.
     :param offered: The configuration that was received.
+    :param reading: What its text says.
+    :param led_by: The changes that led to it from the revision in force;
+        None for a whole copy.
     :returns: Whether it was put in force.
     """
     if offered.revision <= holder.revision():
         return False
-    rule_set, faults = rule_reader.parse(offered.text)
-    if faults:
-        holder.refused = f'revision {offered.revision}: {faults[0]}'
+    if reading.faults:
+        holder.refused = f'revision {offered.revision}: {reading.faults[0]}'
+        holder.refused_id = offered.change_id
         return False
+    if led_by is None:
+        holder.recent.clear()
+    holder.recent.extend(led_by or [])
     holder.current = offered
-    holder.rule_set = rule_set
+    holder.rule_set = reading.rule_set
     holder.refused = ''
-    holder.recent.clear()
+    holder.refused_id = ''
     return True
 
 
+def offer(holder: ConfigurationHolder, offered: Configuration) -> bool:
+    """Put a configuration in force if it is newer and has no fault.
+
+    :param holder: What is in force.
+    :param offered: The configuration that was received.
+    :returns: Whether it was put in force.
+    """
+    if not wanted(holder, offered):
+        return False
+    return admit(holder, offered, rule_reader.read(offered.text))
+
+
+def wanted(holder: ConfigurationHolder, offered: Configuration) -> bool:
+    """Tell whether a configuration is newer and was not refused before."""
+    if offered.revision <= holder.revision():
+        return False
+    return not holder.refused_id or offered.change_id != holder.refused_id
+
+
+def advanced(
+    holder: ConfigurationHolder,
+    newer: list[changes.Change],
+) -> Configuration:
+    """Return what changes make of the configuration in force.
+
+    :param newer: Changes above the revision in force, in order.
+    :raises deltas.DeltaError: if they do not lead on from it; a whole copy
+        is needed.
+    """
+    if holder.current is None or not newer:
+        raise deltas.DeltaError('no revision that a delta could apply to')
+    text = changes.Text(holder.current.revision, holder.current.text)
+    for change in newer:
+        text = changes.advance(text, change)
+    return Configuration(text.revision, newer[-1].change_id, text.rules)
+
+
+def newer_changes(
+    holder: ConfigurationHolder,
+    offered: list[changes.Change],
+) -> list[changes.Change]:
+    """Return the changes above the revision in force."""
+    return [one for one in offered if one.revision > holder.revision()]
+
+
 def offer_changes(
     holder: ConfigurationHolder,
     offered: list[changes.Change],
@@ -82,20 +140,13 @@
     :raises deltas.DeltaError: if they do not lead on from the current
         revision; a whole copy is needed.
     """
-    newer = [one for one in offered if one.revision > holder.revision()]
+    newer = newer_changes(holder, offered)
     if not newer:
         return False
-    if holder.current is None:
-        raise deltas.DeltaError('no revision that a delta could apply to')
-    text = changes.Text(holder.current.revision, holder.current.text)
-    for change in newer:
-        text = changes.advance(text, change)
-    changed = Configuration(text.revision, newer[-1].change_id, text.rules)
-    led_here = [*holder.recent, *newer]
-    if not offer(holder, changed):
+    changed = advanced(holder, newer)
+    if not wanted(holder, changed):
         return False
-    holder.recent.extend(led_here)
-    return True
+    return admit(holder, changed, rule_reader.read(changed.text), newer)
 
 
 def changes_above(
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from camphorstair_core import changes, verdicts
+from camphorstair_core import changes, verdicts, vm_lists, vms
 
 
 @attrs.define
@@ -195,6 +195,30 @@
     refused: str = ''
 
 
+@attrs.define
+class VmListRequest:
+    """Asks for the VM list if it is another version.
+
+    :ivar digest: Fingerprint of the asker's version; empty for none.
+    """
+
+    digest: str = ''
+
+
+@attrs.define
+class VmListReply:
+    """The VM list as the sender knows it.
+
+    :ivar digest: Fingerprint of the sender's version; empty for none.
+    :ivar changes: What leads from the asker's version to it.
+    :ivar listed: The whole list, or None if the changes lead to it.
+    """
+
+    digest: str
+    changes: list[vm_lists.ListChange] = attrs.field(factory=list)
+    listed: list[vms.Vm] | None = None
+
+
 KINDS = types.MappingProxyType(
     {
         1: Hello,
@@ -208,5 +232,7 @@
         9: ResponseFailed,
         10: StatusRequest,
         11: NodeStatus,
+        40: VmListRequest,
+        41: VmListReply,
     },
 )
--- a/packages/core/src/camphorstair_core/rule_reader.py
+++ b/packages/core/src/camphorstair_core/rule_reader.py
@@ -1,37 +1,15 @@
 """Reads the rules file."""
 
-import difflib
-import types
 from collections import abc
 
 import attrs
 
-from camphorstair_core import rule_lines, rules
+from camphorstair_core import rule_lines, rule_verbs, rules
 
-MAX_DIGITS = 9
+SLICE_LINES = 200
 
-_SERVICE = 'service'
 _REFERRING = ('model', 'route')
 
-_REQUIRED = types.MappingProxyType(
-    {
-        'service': ('name', 'kind', 'in_flight', 'cold_in_flight'),
-        'model': ('name', 'service'),
-        'organisation': ('name', 'in_flight'),
-        'route': ('path', 'service'),
-        'limit': ('endpoint', 'in_flight', 'cold_in_flight'),
-        'out': (),
-        'fencing': ('endpoint', 'checked'),
-    },
-)
-_OPTIONAL = types.MappingProxyType(
-    {
-        'organisation': ('priority',),
-        'route': ('method', 'repeat', 'organisation', 'model'),
-        'out': ('data_centre', 'endpoint'),
-    },
-)
-
 
 @attrs.define(frozen=True)
 class _Reference:
@@ -42,23 +20,51 @@
     service: str
 
 
+@attrs.define
+class Reading:
+    """What a rules file says, as far as it is read.
+
+    :ivar rule_set: The rules.
+    :ivar faults: Every fault found, in the order of lines at the end.
+    """
+
+    rule_set: rules.RuleSet = attrs.field(factory=rules.RuleSet)
+    faults: list[rule_lines.RuleError] = attrs.field(factory=list)
+
+
 def parse(text: str) -> tuple[rules.RuleSet, list[rule_lines.RuleError]]:
     """Read a rules file.
 
     :param text: The whole file.
     :returns: The rules and every fault found, in the order of lines.
     """
-    rule_set = rules.RuleSet()
-    faults: list[rule_lines.RuleError] = []
+    reading = read(text)
+    return reading.rule_set, reading.faults
+
+
+def read(text: str) -> Reading:
+    """Read a rules file at once."""
+    reading = Reading()
+    list(read_slices(text, reading))
+    return reading
+
+
+def read_slices(text: str, reading: Reading) -> abc.Iterator[None]:
+    """Read a rules file in slices, between which the caller may do others.
+
+    :param text: The whole file.
+    :param reading: Takes the rules; complete when the iterator ends.
+    """
     references: list[_Reference] = []
     for number, line in enumerate(text.split('\n'), start=1):
         try:
-            _read_line(rule_set, references, number, line)
+            _read_line(reading.rule_set, references, number, line)
         except rule_lines.RuleError as fault:
-            faults.append(fault)
-    faults.extend(_undefined_services(rule_set, references))
-    faults.sort(key=lambda fault: (fault.line, fault.column))
-    return rule_set, faults
+            reading.faults.append(fault)
+        if number % SLICE_LINES == 0:
+            yield
+    reading.faults.extend(_undefined_services(reading.rule_set, references))
+    reading.faults.sort(key=lambda fault: (fault.line, fault.column))
 
 
 def _read_line(
@@ -70,201 +76,11 @@
     line = rule_lines.split_line(number, text)
     if line is None:
         return
-    service = line.setting(_SERVICE)
+    service = line.setting(rule_verbs.SERVICE)
     if service is not None and line.verb in _REFERRING:
-        column = _column(line, _SERVICE)
+        column = rule_verbs.column(line, rule_verbs.SERVICE)
         references.append(_Reference(number, column, service))
-    _read_rule(rule_set, line)
-
-
-def _read_rule(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    if line.verb not in _REQUIRED:
-        raise rule_lines.RuleError(
-            line.line,
-            line.text.index(line.verb) + 1,
-            unknown('rule', line.verb, list(_REQUIRED)),
-        )
-    _check_keys(line)
-    _READERS[line.verb](rule_set, line)
-
-
-def _check_keys(line: rule_lines.RuleLine) -> None:
-    required = _REQUIRED[line.verb]
-    known = (*required, *_OPTIONAL.get(line.verb, ()))
-    for word in line.words:
-        if word.key not in known:
-            message = unknown('setting', word.key, list(known))
-            raise rule_lines.RuleError(line.line, word.column, message)
-    for key in required:
-        if line.setting(key) is None:
-            message = f'"{line.verb}" needs {key}=...'
-            raise rule_lines.RuleError(line.line, 1, message)
-
-
-def unknown(what: str, name: str, known: list[str]) -> str:
-    """Return the message for a name that is not known, with a suggestion.
-
-    :param what: What the name stands for.
-    :param name: The name.
-    :param known: The names that are known.
-    """
-    close = difflib.get_close_matches(name, known, n=1)
-    hint = f', did you mean "{close[0]}"?' if close else ''
-    return f'unknown {what} "{name}"{hint}'
-
-
-def _column(line: rule_lines.RuleLine, key: str) -> int:
-    return next(word.column for word in line.words if word.key == key)
-
-
-def _whole_number(line: rule_lines.RuleLine, key: str) -> int:
-    text = line.setting(key) or ''
-    short = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
-    if not short or not int(text):
-        message = f'{key} must be a whole number above 0, not "{text}"'
-        raise rule_lines.RuleError(line.line, _column(line, key), message)
-    return int(text)
-
-
-def _choice(
-    line: rule_lines.RuleLine,
-    key: str,
-    known: list[str],
-    default: str,
-) -> str:
-    text = line.setting(key)
-    if text is None:
-        return default
-    if text not in known:
-        message = unknown(key, text, known)
-        raise rule_lines.RuleError(line.line, _column(line, key), message)
-    return text
-
-
-def _name(line: rule_lines.RuleLine, key: str = 'name') -> str:
-    return line.setting(key) or ''
-
-
-def _refuse_second(
-    line: rule_lines.RuleLine,
-    key: str,
-    table: abc.Mapping[str, object],
-) -> None:
-    name = _name(line, key)
-    if name in table:
-        message = f'{line.verb} "{name}" is defined twice'
-        raise rule_lines.RuleError(line.line, _column(line, key), message)
-
-
-def _limits(line: rule_lines.RuleLine) -> tuple[int, int]:
-    in_flight = _whole_number(line, 'in_flight')
-    cold_in_flight = _whole_number(line, 'cold_in_flight')
-    if cold_in_flight > in_flight:
-        message = f'cold_in_flight {cold_in_flight} is above {in_flight}'
-        column = _column(line, 'cold_in_flight')
-        raise rule_lines.RuleError(line.line, column, message)
-    return in_flight, cold_in_flight
-
-
-def _read_service(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'name', rule_set.services)
-    in_flight, cold_in_flight = _limits(line)
-    kind = rules.ServiceKind(_choice(line, 'kind', list(rules.ServiceKind), ''))
-    name = _name(line)
-    rule_set.services[name] = rules.Service(
-        name,
-        kind,
-        in_flight,
-        cold_in_flight,
-        line.line,
-    )
-
-
-def _read_model(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'name', rule_set.models)
-    rule_set.models[_name(line)] = _name(line, 'service')
-    rule_set.model_lines[_name(line)] = line.line
-
-
-def _read_organisation(
-    rule_set: rules.RuleSet, line: rule_lines.RuleLine
-) -> None:
-    _refuse_second(line, 'name', rule_set.organisations)
-    names = [priority.name for priority in rules.Priority]
-    priority = _choice(line, 'priority', names, rules.Priority.normal.name)
-    in_flight = _whole_number(line, 'in_flight')
-    name = _name(line)
-    rule_set.organisations[name] = rules.Organisation(
-        name,
-        in_flight,
-        rules.Priority[priority],
-        line.line,
-    )
-
-
-def _read_route(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    path = _name(line, 'path')
-    if not path.startswith('/'):
-        message = f'path "{path}" does not start with "/"'
-        column = _column(line, 'path')
-        raise rule_lines.RuleError(line.line, column, message)
-    repeat = _choice(line, 'repeat', ['allowed', 'never'], 'allowed')
-    rule_set.routes.append(
-        rules.Route(
-            path=path,
-            method=line.setting('method') or '*',
-            service=_name(line, 'service'),
-            idempotent=repeat == 'allowed',
-            line=line.line,
-            organisation=_name(line, 'organisation'),
-            model=_name(line, 'model'),
-        ),
-    )
-
-
-def _read_limit(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'endpoint', rule_set.endpoints)
-    in_flight, cold_in_flight = _limits(line)
-    name = _name(line, 'endpoint')
-    rule_set.endpoints[name] = rules.Service(
-        name,
-        rules.ServiceKind.plain,
-        in_flight,
-        cold_in_flight,
-        line.line,
-    )
-
-
-def _read_out(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    if len(line.words) != 1:
-        message = '"out" needs one of data_centre=... and endpoint=...'
-        raise rule_lines.RuleError(line.line, 1, message)
-    word = line.words[0]
-    table = rule_set.endpoints_out
-    if word.key == 'data_centre':
-        table = rule_set.data_centres_out
-    table[word.value] = line.line
-
-
-def _read_fencing(rule_set: rules.RuleSet, line: rule_lines.RuleLine) -> None:
-    _refuse_second(line, 'endpoint', rule_set.checked_fencing)
-    checked = _choice(line, 'checked', ['yes', 'no'], 'no')
-    endpoint = _name(line, 'endpoint')
-    rule_set.checked_fencing[endpoint] = checked == 'yes'
-    rule_set.fencing_lines[endpoint] = line.line
-
-
-_READERS = types.MappingProxyType(
-    {
-        'service': _read_service,
-        'model': _read_model,
-        'organisation': _read_organisation,
-        'route': _read_route,
-        'limit': _read_limit,
-        'out': _read_out,
-        'fencing': _read_fencing,
-    },
-)
+    rule_verbs.read_rule(rule_set, line)
 
 
 def _undefined_services(
@@ -276,7 +92,7 @@
         rule_lines.RuleError(
             reference.line,
             reference.column,
-            unknown('service', reference.service, known),
+            rule_verbs.unknown('service', reference.service, known),
         )
         for reference in references
         if reference.service not in rule_set.services
--- a/packages/core/src/camphorstair_core/rule_warnings.py
+++ b/packages/core/src/camphorstair_core/rule_warnings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from camphorstair_core import routing, rule_lines, rule_reader, rules
+from camphorstair_core import routing, rule_lines, rule_verbs, rules
 
 
 @attrs.define
@@ -101,7 +101,7 @@
         ('endpoint', rule_set.fencing_lines, known.endpoints),
     )
     return [
-        rule_lines.RuleError(line, 1, rule_reader.unknown(what, name, names))
+        rule_lines.RuleError(line, 1, rule_verbs.unknown(what, name, names))
         for what, table, names in tables
         for name, line in table.items()
         if name not in names
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -94,6 +94,7 @@
         await link.send(self.start)
         head = await link.receive()
         if isinstance(head, messages.RequestRefused):
+            await self.entry.state.notice_revision(head.revision)
             raise self._refused(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
--- a/packages/runtime/src/camphorstair_runtime/node.py
+++ b/packages/runtime/src/camphorstair_runtime/node.py
@@ -3,8 +3,9 @@
 import typing
 
 import attrs
+import curio
 
-from camphorstair_core import configuration, messages, vms
+from camphorstair_core import configuration, messages, vm_lists, vms
 from camphorstair_runtime import settings
 
 
@@ -19,6 +20,8 @@
     :ivar listed: The last VM list.
     :ivar leaving: Whether it shuts down.
     :ivar load: Its load, for status and heartbeats.
+    :ivar vm_list: The VM list with its version, to pass on.
+    :ivar behind: Set when another process has a newer configuration.
     """
 
     identity: settings.Node
@@ -30,6 +33,13 @@
     listed: list[vms.Vm] = attrs.field(factory=list)
     leaving: bool = False
     load: messages.LoadReport = attrs.field(factory=messages.LoadReport)
+    vm_list: vm_lists.ListHolder = attrs.field(factory=vm_lists.ListHolder)
+    behind: curio.Event = attrs.field(factory=curio.Event)
+
+    async def notice_revision(self, revision: int) -> None:
+        """Take note of the revision in force at another process."""
+        if revision > self.holder.revision():
+            await self.behind.set()
 
     def hello(self) -> messages.Hello:
         """Return the heartbeat of this process."""
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/peer_links.py
@@ -0,0 +1,66 @@
+"""Links to the peers that a process asks again and again."""
+
+import typing
+
+import attrs
+import curio
+
+from camphorstair_core import vms
+from camphorstair_runtime import links, settings
+
+CALL_LIMIT_S = 1.0
+LINKS_KEPT = 3
+
+
+@attrs.define
+class PeerLinks:
+    """Open links by the name of the VM.
+
+    :ivar context: TLS context, or None.
+    :ivar rows: The links, the one used last at the end.
+    """
+
+    context: typing.Any
+    rows: dict[str, links.Link] = attrs.field(factory=dict)
+
+    async def call(self, vm: vms.Vm, message: object) -> object:
+        """Ask a peer one thing.
+
+        :raises links.LinkError: if it does not answer in time.
+        """
+        link = self.rows.pop(vm.name, None)
+        try:
+            return await curio.timeout_after(
+                CALL_LIMIT_S,
+                self._call,
+                vm,
+                link,
+                message,
+            )
+        except curio.TaskTimeout as timeout:
+            raise links.LinkError(f'{vm.name}: no answer') from timeout
+
+    async def close(self) -> None:
+        """Close all links."""
+        while self.rows:
+            await self.rows.popitem()[1].close()
+
+    async def _call(
+        self,
+        vm: vms.Vm,
+        link: links.Link | None,
+        message: object,
+    ) -> object:
+        if link is None:
+            address = settings.split_address(vm.peers_address)
+            link = await links.connect(*address, self.context, CALL_LIMIT_S)
+        try:
+            reply = await link.call(message)
+        except BaseException:
+            await link.close()
+            raise
+        self.rows[vm.name] = link
+        while len(self.rows) > LINKS_KEPT:
+            oldest = self.rows.pop(next(iter(self.rows)))
+            await oldest.close()
+        return reply
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -9,7 +9,7 @@
 import attrs
 import curio
 
-from camphorstair_core import configuration, messages
+from camphorstair_core import configuration, messages, vm_lists
 from camphorstair_runtime import links, node
 
 _LOG = logging.getLogger(__name__)
@@ -68,6 +68,29 @@
     )
 
 
+def vm_list_reply(
+    state: node.NodeState,
+    request: messages.VmListRequest,
+) -> messages.VmListReply:
+    """Return the VM list if the asker's is another version."""
+    holder = state.vm_list
+    if not holder.digest:
+        return messages.VmListReply('')
+    changes = vm_lists.changes_from(holder, request.digest)
+    if changes is None:
+        return messages.VmListReply(holder.digest, listed=holder.listed())
+    return messages.VmListReply(holder.digest, changes)
+
+
+def _revision(message: object) -> int:
+    """Return the revision in force at the sender, or 0 if it is not said."""
+    if isinstance(message, messages.Hello | messages.RequestStart):
+        return message.revision
+    if isinstance(message, messages.ConfigurationRequest):
+        return message.above_revision
+    return 0
+
+
 @attrs.define
 class PeerServer:
     """Serves links from other processes.
@@ -94,6 +117,7 @@
     async def _serve(self, link: links.Link) -> None:
         while True:
             message = await link.receive()
+            await self.state.notice_revision(_revision(message))
             if isinstance(message, messages.RequestStart):
                 await self._run(link, message)
             else:
@@ -113,6 +137,8 @@
             return self.state.hello()
         if isinstance(message, messages.ConfigurationRequest):
             return configuration_reply(self.state, message)
+        if isinstance(message, messages.VmListRequest):
+            return vm_list_reply(self.state, message)
         if isinstance(message, messages.StatusRequest):
             return status(self.state, self.service)
         raise links.LinkError(f'unexpected {type(message).__name__}')
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/taking.py
@@ -0,0 +1,117 @@
+"""Puts received configurations and VM lists in force at a process."""
+
+import logging
+
+import curio
+
+from camphorstair_core import (
+    changes,
+    configuration,
+    deltas,
+    messages,
+    rule_reader,
+    vm_lists,
+    vms,
+)
+from camphorstair_runtime import node
+
+_LOG = logging.getLogger(__name__)
+
+
+async def take(
+    state: node.NodeState,
+    offered: configuration.Configuration,
+    led_by: list[changes.Change] | None = None,
+) -> bool:
+    """Put a configuration in force if it is newer and has no fault.
+
+    Other tasks run while a long one is read.
+
+    :param state: The state of this process.
+    :param offered: The configuration.
+    :param led_by: The changes that lead to it from the one in force.
+    :returns: Whether it was put in force.
+    """
+    holder = state.holder
+    if not configuration.wanted(holder, offered):
+        return False
+    base_revision = holder.revision()
+    reading = rule_reader.Reading()
+    for _ in rule_reader.read_slices(offered.text, reading):
+        await curio.sleep(0)
+    if holder.revision() != base_revision:
+        led_by = None
+    if configuration.admit(holder, offered, reading, led_by):
+        extra = {
+            'revision': offered.revision,
+            'change_id': offered.change_id,
+        }
+        _LOG.info('configuration in force', extra=extra)
+        return True
+    if holder.refused:
+        _LOG.error('refused: %s', holder.refused)
+    return False
+
+
+async def take_changes(
+    state: node.NodeState,
+    offered: list[changes.Change],
+) -> bool:
+    """Put the changes above the revision in force in force.
+
+    :returns: Whether anything was put in force.
+    :raises deltas.DeltaError: if a whole copy is needed.
+    """
+    newer = configuration.newer_changes(state.holder, offered)
+    if not newer:
+        return False
+    changed = configuration.advanced(state.holder, newer)
+    return await take(state, changed, newer)
+
+
+async def take_reply(
+    state: node.NodeState,
+    reply: messages.ConfigurationReply,
+) -> bool:
+    """Put what a peer sent in force.
+
+    :returns: Whether anything was put in force.
+    :raises deltas.DeltaError: if a whole copy is needed.
+    """
+    if reply.text is not None:
+        offered = configuration.Configuration(
+            reply.revision,
+            reply.change_id,
+            reply.text,
+        )
+        return await take(state, offered)
+    return await take_changes(state, reply.deltas)
+
+
+def take_list(state: node.NodeState, listed: list[vms.Vm]) -> bool:
+    """Take a whole VM list over.
+
+    :returns: Whether it differs.
+    """
+    changed = vm_lists.replace(state.vm_list, listed)
+    state.listed = state.vm_list.listed()
+    return changed
+
+
+def take_list_reply(
+    state: node.NodeState,
+    reply: messages.VmListReply,
+) -> bool:
+    """Take over the VM list that a peer sent.
+
+    :returns: Whether it differs.
+    :raises deltas.DeltaError: if a whole list is needed.
+    """
+    if reply.listed is not None:
+        return take_list(state, reply.listed)
+    if not reply.changes:
+        return False
+    if not vm_lists.advance(state.vm_list, reply.changes):
+        raise deltas.DeltaError(f'VM list {reply.digest} does not follow')
+    state.listed = state.vm_list.listed()
+    return True
--- /dev/null
+++ b/tests/test_spreading.py
@@ -0,0 +1,141 @@
+"""Who asks whom, and how many calls reach the platform."""
+
+import collections
+import random
+
+from camphorstair_core import call_pace, spreading, vm_lists, vms
+from camphorstair_runtime import list_following, watching
+
+DATA_CENTRES = 8
+ENTRIES = 370
+TICK_S = 0.1
+OUTAGE_S = 120
+
+
+def _fleet(count: int) -> list[vms.Vm]:
+    return [
+        vms.Vm(
+            f'e{number}',
+            vms.VmRole.entry,
+            vms.VmState.live,
+            'r',
+            f'dc{number % DATA_CENTRES}',
+            f'10.0.0.1:{number}',
+        )
+        for number in range(count)
+    ]
+
+
+def _place(vm: vms.Vm) -> spreading.Place:
+    return spreading.Place(vm.name, vm.data_centre)
+
+
+def test_only_two_entries_a_data_centre_watch() -> None:
+    listed = _fleet(ENTRIES)
+    watchers = [vm for vm in listed if spreading.watches(listed, _place(vm))]
+    counts = collections.Counter(vm.data_centre for vm in watchers)
+    assert set(counts.values()) == {spreading.WATCHERS}
+    assert len(counts) == DATA_CENTRES
+
+
+def test_a_dead_watcher_is_passed_over_at_once() -> None:
+    listed = _fleet(40)
+    generator = random.Random(1)
+    me = _place(listed[0])
+    sources = spreading.Sources()
+    for watcher in vms.watchers(listed, me.data_centre, spreading.WATCHERS):
+        spreading.avoid(sources, watcher.name, 0)
+    found = spreading.candidates(listed, me, sources, 1, generator)
+    assert len(found) == spreading.CANDIDATES
+    assert not {vm.name for vm in found} & set(sources.avoided_until_s)
+    spreading.avoid(sources, 'e1', spreading.AVOIDED_S + 1)
+    assert set(sources.avoided_until_s) == {'e1'}
+
+
+def test_a_data_centre_that_is_cut_off_learns_from_the_others() -> None:
+    """Revisions spread over random far entries within a few rounds."""
+    listed = _fleet(ENTRIES)
+    generator = random.Random(2)
+    has = {vm.name for vm in listed if vm.data_centre != 'dc0'}
+    sources = spreading.Sources()
+    for _ in range(4):
+        before = set(has)
+        for vm in listed:
+            found = spreading.candidates(
+                listed, _place(vm), sources, 0, generator
+            )
+            if found[0].name in before:
+                has.add(vm.name)
+    assert len(has) == ENTRIES
+
+
+def _storm(down_s: float) -> collections.Counter[int]:
+    """Restart all entries at once; return calls by second."""
+    listed = _fleet(ENTRIES)
+    generator = random.Random(3)
+    paces = [
+        call_pace.CallPace()
+        for vm in listed
+        if spreading.watches(listed, _place(vm))
+    ]
+    calls: collections.Counter[int] = collections.Counter()
+    for tick in range(round((OUTAGE_S + 10) / TICK_S)):
+        now_s = tick * TICK_S
+        for pace in paces:
+            if not call_pace.may_call(pace, now_s):
+                continue
+            calls[int(now_s)] += 1
+            if now_s < down_s:
+                call_pace.note_failure(pace, now_s, generator)
+            else:
+                call_pace.note_success(pace)
+                pace.retry_s = now_s + watching.GUARD_INTERVAL_S
+    return calls
+
+
+def test_a_restart_of_all_entries_does_not_stampede() -> None:
+    watchers = DATA_CENTRES * spreading.WATCHERS
+    calls = _storm(OUTAGE_S)
+    late = [calls[second] for second in range(30, OUTAGE_S)]
+    assert max(calls.values()) <= watchers * 4
+    assert max(late) < watchers
+    # Back within the longest backoff, and not all in one second.
+    back = [calls[second] for second in range(OUTAGE_S, OUTAGE_S + 6)]
+    assert sum(back) >= watchers
+    assert max(back) <= 2 * watchers
+
+
+def test_the_budget_bounds_calls_that_succeed() -> None:
+    pace = call_pace.CallPace()
+    made = sum(call_pace.may_call(pace, tick / 100) for tick in range(1000))
+    assert made <= call_pace.BURST_CALLS + 10 * call_pace.RATE_PER_S
+
+
+def test_a_long_list_is_read_seldom() -> None:
+    shortest, longest = map(list_following.interval_s, (15, 970))
+    assert shortest == list_following.MIN_INTERVAL_S
+    assert longest == list_following.MAX_INTERVAL_S
+
+
+def test_list_changes_lead_to_the_same_list() -> None:
+    generator = random.Random(4)
+    source, follower = vm_lists.ListHolder(), vm_lists.ListHolder()
+    for _ in range(200):
+        listed = generator.sample(_fleet(30), generator.randint(1, 30))
+        vm_lists.replace(source, listed)
+        if generator.randrange(10) < 7:
+            found = vm_lists.changes_from(source, follower.digest)
+            if found is None:
+                vm_lists.replace(follower, source.listed())
+            elif found:
+                assert vm_lists.advance(follower, found)
+            assert follower.rows == source.rows
+
+
+def test_list_changes_that_do_not_follow_change_nothing() -> None:
+    source, follower = vm_lists.ListHolder(), vm_lists.ListHolder()
+    vm_lists.replace(source, _fleet(3))
+    vm_lists.replace(source, _fleet(4))
+    vm_lists.replace(follower, _fleet(9)[5:])
+    assert not vm_lists.advance(follower, list(source.recent))
+    assert set(follower.rows) == {'e5', 'e6', 'e7', 'e8'}
