Leave without losing a request; directory by health and own word

Cause: on SIGTERM the tasks of idle connections were cancelled; one whose data had come but which had not run yet lost its request. Requests were counted only once forwarded, so half-read ones were cut off. The directory named a leaving entry until the VM list said so, and agents' links ended without a word, which made a booking on its way 'may have run'.

Ruled out: closing sockets (a reset that callers can't tell from a run), cancellation deferred by curio (the bound could not be kept).

Change: idle connections are ended by shutting down the reading side, with an answer that says 'not run'; entries and agents announce that they leave and serve until the last directory answer naming them has passed; peers' health by heartbeats on a ring; directory by health, own word, outages and turns; a ramp for data centres that return.

--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -11,6 +11,7 @@
 from camphorstair_agent import relay
 from camphorstair_core import admission, vms
 from camphorstair_runtime import (
+    announcing,
     following,
     logs,
     metrics,
@@ -19,11 +20,10 @@
     platform,
     security,
     settings,
+    shutdown,
     signals,
 )
 
-DRAIN_INTERVAL_S = 0.05
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -92,26 +92,33 @@
             ),
         )
         await group.spawn(follower.run)
+        await group.spawn(_announce_presence, agent)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
-        await _drain(agent)
+        await _drain(agent, server)
         await group.cancel_remaining()
 
 
-async def _drain(agent: Agent) -> None:
+async def _announce_presence(agent: Agent) -> None:
+    await announcing.announce_presence(agent.state)
+    await curio.Event().wait()
+
+
+async def _drain(agent: Agent, server: peers.PeerServer) -> None:
+    """Refuse new requests, finish what runs, then end the links.
+
+    Entries that heard of it send nothing more; what is still on its way is
+    refused, and what arrives at the end of a link is answered as not run.
+    """
     agent.state.leaving = True
     agent.gate.leaving = True
     limit_s = agent.checked.shutdown.limit_s
-    _LOG.info('shutting down', extra={'in_flight': agent.gate.in_flight})
+    _LOG.info('shutting down', extra={'in_flight': server.running})
     async with curio.ignore_after(limit_s):
-        while agent.gate.in_flight:
-            await curio.sleep(DRAIN_INTERVAL_S)
-    if agent.gate.in_flight:
-        _LOG.error(
-            'shutdown limit of %s s reached',
-            limit_s,
-            extra={'in_flight': agent.gate.in_flight},
-        )
+        await announcing.announce_leaving(agent.state, limit_s)
+    await shutdown.wait_idle(lambda: server.running, limit_s)
+    server.end_idle()
+    await shutdown.wait_closed(server.idle_links)
     _LOG.info('stopped')
 
 
@@ -120,6 +127,7 @@
     checked = settings.load(pathlib.Path(path), settings.AgentSettings)
     logs.set_up(checked.node.name, checked.logging.level)
     curio.run(run, build(checked))
+    signals.ignore()
 
 
 if __name__ == '__main__':
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -1,13 +1,15 @@
 """The entry's table of endpoints and the systems that run over it."""
 
 import random
+from collections import abc
 
 import attrs
 
-from camphorstair_core import messages, rules, vms
+from camphorstair_core import messages, returning, rules, vms
 
 EJECTION_S = 5.0
 LOAD_AGE_LIMIT_S = 2.0
+NONE_LEAVING: abc.Set[str] = frozenset()
 
 
 @attrs.define
@@ -22,6 +24,7 @@
     :ivar ejected_deadline_s: Until when it is not chosen.
     :ivar leaving: Whether its agent said that it shuts down.
     :ivar out: Whether the rules take it, or its data centre, out.
+    :ivar ramp_deadline_s: When its data centre gets its whole share again.
     """
 
     vm: vms.Vm
@@ -32,6 +35,7 @@
     ejected_deadline_s: float = 0
     leaving: bool = False
     out: bool = False
+    ramp_deadline_s: float = 0
 
     def available(self, now_s: float) -> bool:
         """Tell whether new work may go to the endpoint."""
@@ -48,20 +52,29 @@
 
 @attrs.define
 class EndpointTable:
-    """All endpoints that an entry knows, by name."""
+    """All endpoints that an entry knows, by name.
+
+    :ivar returns: Data centres that are out or return.
+    """
 
     rows: dict[str, Endpoint] = attrs.field(factory=dict)
+    returns: returning.Returns = attrs.field(factory=returning.Returns)
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service."""
         return [row for row in self.rows.values() if row.vm.service == service]
 
 
-def update_vms(table: EndpointTable, listed: list[vms.Vm]) -> None:
+def update_vms(
+    table: EndpointTable,
+    listed: list[vms.Vm],
+    leaving: abc.Set[str] = NONE_LEAVING,
+) -> None:
     """Bring the table in line with the VM list.
 
     :param table: The table; rows of VMs that are gone are removed.
     :param listed: All VMs of the list.
+    :param leaving: Names of VMs whose agents said that they shut down.
     """
     agents = {vm.name: vm for vm in listed if vm.role is vms.VmRole.agent}
     for name in set(table.rows) - set(agents):
@@ -69,20 +82,29 @@
     for vm in agents.values():
         row = table.rows.setdefault(vm.name, Endpoint(vm))
         row.vm = vm
-        row.leaving = vm.state is vms.VmState.leaving
+        listed_leaving = vm.state is vms.VmState.leaving
+        row.leaving = listed_leaving or vm.name in leaving
 
 
-def apply_rules(table: EndpointTable, rule_set: rules.RuleSet) -> None:
+def apply_rules(
+    table: EndpointTable,
+    rule_set: rules.RuleSet,
+    now_s: float = 0,
+) -> None:
     """Mark the endpoints that the rules take out.
 
     :param table: The table.
     :param rule_set: The rules in force.
+    :param now_s: The time.
     """
+    out = frozenset(rule_set.data_centres_out)
+    returning.note_outages(table.returns, out, now_s)
+    ramps = table.returns.ramp_deadlines_s
     for row in table.rows.values():
-        row.out = (
-            row.vm.data_centre in rule_set.data_centres_out
-            or row.vm.name in rule_set.endpoints_out
-        )
+        data_centre = row.vm.data_centre
+        row.ramp_deadline_s = ramps.get(data_centre, 0)
+        listed_out = row.vm.name in rule_set.endpoints_out
+        row.out = data_centre in out or listed_out
 
 
 def choose(
@@ -108,6 +130,12 @@
     ]
     if not candidates:
         return None
+    admitted = [
+        row
+        for row in candidates
+        if returning.admits(row.ramp_deadline_s, now_s, generator)
+    ]
+    candidates = admitted or candidates
     picked = generator.sample(candidates, min(2, len(candidates)))
     return min(picked, key=lambda row: row.pressure(now_s))
 
--- a/packages/core/src/camphorstair_core/errors.py
+++ b/packages/core/src/camphorstair_core/errors.py
@@ -22,6 +22,10 @@
     http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
 )
 timeout = ErrorCode('request_timeout', http.HTTPStatus.REQUEST_TIMEOUT)
+connection_closing = ErrorCode(
+    'connection_closing',
+    http.HTTPStatus.REQUEST_TIMEOUT,
+)
 unauthorized = ErrorCode('unauthorized', http.HTTPStatus.UNAUTHORIZED)
 unknown_organisation = ErrorCode(
     'unknown_organisation',
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from camphorstair_core import verdicts
+from camphorstair_core import membership_messages, verdicts
 
 
 @attrs.define
@@ -203,5 +203,8 @@
         9: ResponseFailed,
         10: StatusRequest,
         11: NodeStatus,
+        50: membership_messages.Heartbeat,
+        51: membership_messages.Leaving,
+        52: membership_messages.LeavingReply,
     },
 )
--- a/packages/entry/src/camphorstair/callers.py
+++ b/packages/entry/src/camphorstair/callers.py
@@ -8,15 +8,18 @@
 import curio
 import msgspec
 
-from camphorstair import attempts, entry_state, forwarding
+from camphorstair import (
+    attempts,
+    directory_answers,
+    entry_state,
+    forwarding,
+)
 from camphorstair_core import (
-    directory,
     errors,
     messages,
     routing,
     tokens,
     verdicts,
-    vms,
 )
 from camphorstair_runtime import clocks, http_messages, http_server, metrics
 
@@ -85,21 +88,8 @@
         self,
         request: http_messages.Request,
     ) -> http_messages.Response:
-        state = self.entry.state
-        serving = [
-            vm
-            for vm in state.listed
-            if vm.role is vms.VmRole.entry
-            and not (state.leaving and vm.name == state.identity.name)
-        ]
         place = request.header('x-camphorstair-data-centre')
-        answer = directory.answer(
-            serving,
-            place or state.identity.data_centre,
-            self.entry.directory_serial,
-            clocks.epoch_s(),
-        )
-        self.entry.directory_serial += 1
+        answer = directory_answers.answer(self.entry, place)
         return http_messages.json_response(http.HTTPStatus.OK, answer)
 
     async def _forward(
--- /dev/null
+++ b/packages/entry/src/camphorstair/departing.py
@@ -0,0 +1,68 @@
+"""Graceful shutdown of an entry."""
+
+import logging
+
+import curio
+
+from camphorstair import entry_state
+from camphorstair_runtime import announcing, clocks, http_server, shutdown
+
+_LOG = logging.getLogger(__name__)
+
+
+async def depart(
+    entry: entry_state.Entry,
+    server: http_server.Server,
+) -> None:
+    """Serve as long as callers may come, finish what runs, then close.
+
+    Callers come until the last directory answer that names this entry has
+    passed its deadline. All entries are told at once, and reply for how long
+    their answers name it.
+
+    :param entry: The entry.
+    :param server: Its listener for callers.
+    """
+    entry.state.leaving = True
+    limit_s = entry.checked.shutdown.limit_s
+    deadline_s = clocks.monotonic_s() + limit_s
+    _LOG.info('shutting down', extra={'in_flight': len(server.active)})
+    server.begin_closing()
+    async with curio.ignore_after(limit_s):
+        await _outlast_directory(entry, deadline_s)
+    remaining_s = max(0, deadline_s - clocks.monotonic_s())
+    await shutdown.wait_idle(lambda: len(server.active), remaining_s)
+    server.end_idle()
+    await shutdown.wait_closed(server.idle_connections)
+    await announcing.announce_leaving(
+        entry.state,
+        limit_s,
+        entry.named.named_s,
+        last=True,
+    )
+    _LOG.info('stopped')
+
+
+async def _outlast_directory(
+    entry: entry_state.Entry,
+    deadline_s: float,
+) -> None:
+    """Wait until no directory answer in force names this entry."""
+    lifetime_s = entry.checked.directory.answer_lifetime_s
+    limit_s = entry.checked.shutdown.limit_s
+    outcomes = await announcing.announce_leaving(
+        entry.state,
+        limit_s + lifetime_s,
+        entry.named.named_s,
+    )
+    now_s = clocks.monotonic_s()
+    own_s = entry.named.named_s(entry.state.identity.name, now_s)
+    named_s = announcing.named_deadline_s(entry.state, outcomes, lifetime_s)
+    until_s = max(named_s, now_s + own_s)
+    if until_s > deadline_s:
+        _LOG.error(
+            'shutdown limit reached: directory answers name this entry'
+            ' for %.1f s more',
+            until_s - deadline_s,
+        )
+    await curio.sleep(max(0, min(until_s, deadline_s) - now_s))
--- a/packages/entry/src/camphorstair/entry_state.py
+++ b/packages/entry/src/camphorstair/entry_state.py
@@ -5,8 +5,8 @@
 import attrs
 
 from camphorstair import link_pool
-from camphorstair_core import endpoints, retries
-from camphorstair_runtime import metrics, node, settings
+from camphorstair_core import directory, endpoints, retries
+from camphorstair_runtime import clocks, metrics, node, settings
 
 
 @attrs.define
@@ -22,7 +22,7 @@
     :ivar table: The endpoints.
     :ivar budget: The retries that may still be made.
     :ivar in_flight: Requests in progress by organisation.
-    :ivar directory_serial: Number of the last directory answer.
+    :ivar named: What it keeps of its directory answers.
     """
 
     checked: settings.EntrySettings
@@ -36,13 +36,26 @@
     )
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     in_flight: dict[str, int] = attrs.field(factory=dict)
-    directory_serial: int = 0
+    named: directory.Directory = attrs.field(init=False)
 
     def refresh(self) -> None:
         """Take over a new VM list or new rules."""
-        endpoints.update_vms(self.table, self.state.listed)
-        endpoints.apply_rules(self.table, self.state.holder.rule_set)
+        now_s = clocks.monotonic_s()
+        endpoints.update_vms(
+            self.table,
+            self.state.listed,
+            {
+                name
+                for name in self.state.members.rows
+                if self.state.members.leaving(name, now_s)
+            },
+        )
+        endpoints.apply_rules(self.table, self.state.holder.rule_set, now_s)
 
     def requests_in_flight(self) -> int:
         """Return how many requests are in progress."""
         return sum(self.in_flight.values())
+
+    @named.default
+    def _new_directory(self) -> directory.Directory:
+        return directory.Directory(self.state.identity.name)
--- a/packages/entry/src/camphorstair/serving.py
+++ b/packages/entry/src/camphorstair/serving.py
@@ -7,10 +7,11 @@
 
 import curio
 
-from camphorstair import callers, entry_state, link_pool
+from camphorstair import callers, departing, entry_state, link_pool
 from camphorstair_core import vms
 from camphorstair_runtime import (
     following,
+    heartbeats,
     http_server,
     logs,
     metrics,
@@ -22,8 +23,6 @@
     signals,
 )
 
-DRAIN_INTERVAL_S = 0.05
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -46,12 +45,10 @@
     terminated = signals.watch()
     checked = entry.checked
     server = http_server.Server(callers.Callers(entry).handle)
-    follower = following.Follower(
+    peer_server = peers.PeerServer(
         entry.state,
-        platform.PlatformClient(checked.platform.key_value),
-        checked.platform.vm_list,
-        entry.refresh,
-        entry.generator,
+        named_s=entry.named.named_s,
+        changed=entry.refresh,
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
@@ -64,35 +61,33 @@
         await group.spawn(
             curio.tcp_server(
                 *settings.split_address(checked.listen.peers),
-                peers.PeerServer(entry.state).serve,
+                peer_server.serve,
                 ssl=security.peers_context(checked.security),
             ),
         )
-        await group.spawn(follower.run)
+        await group.spawn(_follower(entry).run)
+        await group.spawn(
+            heartbeats.Heartbeats(
+                entry.state,
+                entry.refresh,
+                entry.generator,
+            ).run,
+        )
         _LOG.info('listening', extra={'callers': checked.listen.callers})
         await terminated.recv(1)
-        await _drain(entry, server)
+        await departing.depart(entry, server)
         await group.cancel_remaining()
 
 
-async def _drain(
-    entry: entry_state.Entry,
-    server: http_server.Server,
-) -> None:
-    entry.state.leaving = True
-    limit_s = entry.checked.shutdown.limit_s
-    _LOG.info('shutting down')
-    await server.close_idle()
-    async with curio.ignore_after(limit_s):
-        while entry.requests_in_flight():
-            await curio.sleep(DRAIN_INTERVAL_S)
-    if entry.requests_in_flight():
-        _LOG.error(
-            'shutdown limit of %s s reached',
-            limit_s,
-            extra={'in_flight': entry.requests_in_flight()},
-        )
-    _LOG.info('stopped')
+def _follower(entry: entry_state.Entry) -> following.Follower:
+    platform_settings = entry.checked.platform
+    return following.Follower(
+        entry.state,
+        platform.PlatformClient(platform_settings.key_value),
+        platform_settings.vm_list,
+        entry.refresh,
+        entry.generator,
+    )
 
 
 def main(path: str) -> None:
@@ -100,6 +95,7 @@
     checked = settings.load(pathlib.Path(path), settings.EntrySettings)
     logs.set_up(checked.node.name, checked.logging.level)
     curio.run(run, build(checked))
+    signals.ignore()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/runtime/src/camphorstair_runtime/heartbeats.py
@@ -0,0 +1,94 @@
+"""Exchanges heartbeats with a few other entries."""
+
+import logging
+import random
+from collections import abc
+
+import attrs
+import curio
+
+from camphorstair_core import membership, membership_messages, vms
+from camphorstair_runtime import (
+    announcing,
+    clocks,
+    links,
+    node,
+    peers,
+    settings,
+)
+
+SPREAD_SHARES = (0.9, 1.1)
+CALL_LIMIT_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define
+class Heartbeats:
+    """State of the task that exchanges heartbeats.
+
+    :ivar state: The state of this process.
+    :ivar changed: Called when a process turns out to be down.
+    :ivar generator: Spreads the calls.
+    :ivar kept: Links to the watched entries, by name.
+    """
+
+    state: node.NodeState
+    changed: abc.Callable[[], None]
+    generator: random.Random
+    kept: dict[str, links.Link] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        await announcing.announce_presence(self.state)
+        while True:
+            await self._round()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        spread = self.generator.uniform(*SPREAD_SHARES)
+        await curio.sleep(membership.HEARTBEAT_INTERVAL_S * spread)
+
+    async def _round(self) -> None:
+        others = {vm.name: vm for vm in announcing.other_entries(self.state)}
+        names = membership.watched(list(others), self.state.identity.name)
+        members = self.state.members
+        membership.expect(members, names, clocks.monotonic_s())
+        for stale in set(self.kept) - set(names):
+            await self.kept.pop(stale).close()
+        async with curio.TaskGroup() as group:
+            for name in names:
+                await group.spawn(self._exchange, others[name])
+        now_s = clocks.monotonic_s()
+        missing = membership.mark_missing(members, names, now_s)
+        listed = {vm.name for vm in self.state.listed}
+        membership.forget(members, listed, now_s)
+        if missing:
+            _LOG.warning('heartbeats missed', extra={'peers': missing})
+            self.changed()
+            await announcing.announce_presence(self.state)
+
+    async def _exchange(self, vm: vms.Vm) -> None:
+        try:
+            reply = await curio.timeout_after(CALL_LIMIT_S, self._call, vm)
+        except (links.LinkError, curio.TaskTimeout) as error:
+            _LOG.info('peer %s: no heartbeat: %r', vm.name, error)
+            link = self.kept.pop(vm.name, None)
+            if link is not None:
+                await link.close()
+            return
+        if isinstance(reply, membership_messages.Heartbeat):
+            membership.note_heartbeat(
+                self.state.members,
+                reply,
+                clocks.monotonic_s(),
+            )
+
+    async def _call(self, vm: vms.Vm) -> object:
+        link = self.kept.get(vm.name)
+        if link is None:
+            host, port = settings.split_address(vm.peers_address)
+            context = self.state.link_context
+            link = await links.connect(host, port, context, CALL_LIMIT_S)
+            self.kept[vm.name] = link
+        return await link.call(peers.heartbeat(self.state))
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -10,6 +10,7 @@
 import h11
 
 from camphorstair_core import errors
+from camphorstair_runtime import closing as connection_closing
 from camphorstair_runtime import http_messages
 
 MAX_HEAD_BYTES = 32768
@@ -31,7 +32,7 @@
     """The caller is gone."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Responder:
     """Sends the answer to one request.
 
@@ -96,13 +97,19 @@
     """State of a listener.
 
     :ivar handler: Answers one request.
-    :ivar closing: Whether connections end after their request.
-    :ivar idle: Tasks that wait for the next request on a kept connection.
+    :ivar closing: Whether answers say that their connection ends.
+    :ivar ended: Whether no further request is read.
+    :ivar idle: Sockets on which no part of a request has come.
+    :ivar active: Requests in progress, from their first byte on.
+    :ivar connections: Number of open connections.
     """
 
     handler: ResponderHandler
     closing: bool = False
-    idle: set[curio.Task] = attrs.field(factory=set)
+    ended: bool = False
+    idle: set[curio.io.Socket] = attrs.field(factory=set)
+    active: set[Responder] = attrs.field(factory=set)
+    connections: int = 0
 
     async def serve(self, sock: curio.io.Socket, address: object) -> None:
         """Answer the requests of one connection."""
@@ -110,32 +117,58 @@
             h11.SERVER,
             max_incomplete_event_size=MAX_HEAD_BYTES,
         )
+        self.connections += 1
         try:
             async with sock:
                 await self._serve(sock, protocol)
         except (OSError, Disconnected):
             _LOG.debug('connection ended')
+        finally:
+            self.connections -= 1
+
+    def idle_connections(self) -> int:
+        """Return on how many connections no request is in progress."""
+        return self.connections - len(self.active)
 
-    async def close_idle(self) -> None:
-        """End the connections on which no request runs."""
+    def begin_closing(self) -> None:
+        """Let each answer from now on announce the connection's end."""
         self.closing = True
-        for task in list(self.idle):
-            await task.cancel(blocking=False)
+        for responder in self.active:
+            responder.closing = True
+
+    def end_idle(self) -> None:
+        """End the connections on which no request is in progress."""
+        self.ended = True
+        for sock in self.idle:
+            connection_closing.stop_reading(sock)
 
     async def _serve(
         self,
         sock: curio.io.Socket,
         protocol: h11.Connection,
     ) -> None:
-        while not self.closing:
-            if not await self._wait_request(sock, protocol):
-                return
-            responder = Responder(sock, protocol)
-            await self._serve_request(responder)
+        while await self._wait_request(sock, protocol):
+            await self._serve_next(sock, protocol)
             if not _reusable(protocol):
                 await _drain(sock)
                 return
             protocol.start_next_cycle()
+        caller_closed = protocol.trailing_data[1]
+        if self.ended or not caller_closed:
+            await _refuse(Responder(sock, protocol), _closing_error())
+            await connection_closing.linger(sock)
+
+    async def _serve_next(
+        self,
+        sock: curio.io.Socket,
+        protocol: h11.Connection,
+    ) -> None:
+        responder = Responder(sock, protocol, closing=self.closing)
+        self.active.add(responder)
+        try:
+            await self._serve_request(responder)
+        finally:
+            self.active.discard(responder)
 
     async def _wait_request(
         self,
@@ -144,8 +177,9 @@
     ) -> bool:
         if protocol.trailing_data[0]:
             return True
-        task = await curio.current_task()
-        self.idle.add(task)
+        self.idle.add(sock)
+        if self.ended:
+            connection_closing.stop_reading(sock)
         try:
             chunk = await curio.timeout_after(
                 IDLE_LIMIT_S,
@@ -153,9 +187,9 @@
                 READ_BYTES,
             )
         except curio.TaskTimeout:
-            chunk = b''
+            return False
         finally:
-            self.idle.discard(task)
+            self.idle.discard(sock)
         protocol.receive_data(chunk)
         return bool(chunk)
 
@@ -181,7 +215,6 @@
         except h11.RemoteProtocolError as fault:
             await _refuse(responder, _protocol_fault(fault))
             return
-        responder.closing = self.closing
         await self.handler(request, responder)
 
 
@@ -238,6 +271,15 @@
     return errors.RequestError(code, str(fault))
 
 
+def _closing_error() -> errors.RequestError:
+    """Return the answer to a request that crosses the connection's end."""
+    return errors.RequestError(
+        errors.connection_closing,
+        'the connection ends; a request that was on its way was not read',
+        retry_after_s=1,
+    )
+
+
 async def _refuse(responder: Responder, error: errors.RequestError) -> None:
     """Answer a request that can't be read, and end the connection."""
     if responder.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -87,9 +87,15 @@
             raise LinkError(f'receive: {error}') from error
 
     async def call(self, message: object) -> object:
-        """Send a message and return the answer."""
+        """Send a message and return the answer.
+
+        :raises LinkError: if the connection breaks, or the other side ends it.
+        """
         await self.send(message)
-        return await self.receive()
+        reply = await self.receive()
+        if isinstance(reply, messages.RequestRefused):
+            raise LinkError(reply.message)
+        return reply
 
     async def wait_closed(self) -> None:
         """Return when the other side closes the connection.
--- a/packages/runtime/src/camphorstair_runtime/node.py
+++ b/packages/runtime/src/camphorstair_runtime/node.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorstair_core import configuration, messages, vms
+from camphorstair_core import configuration, membership, messages, vms
 from camphorstair_runtime import settings
 
 
@@ -19,6 +19,7 @@
     :ivar listed: The last VM list.
     :ivar leaving: Whether it shuts down.
     :ivar load: Its load, for status and heartbeats.
+    :ivar members: What is known of the other processes.
     """
 
     identity: settings.Node
@@ -30,6 +31,7 @@
     listed: list[vms.Vm] = attrs.field(factory=list)
     leaving: bool = False
     load: messages.LoadReport = attrs.field(factory=messages.LoadReport)
+    members: membership.Members = attrs.field(factory=membership.Members)
 
     def hello(self) -> messages.Hello:
         """Return the heartbeat of this process."""
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -8,16 +8,31 @@
 import attrs
 import curio
 
-from camphorstair_core import messages
-from camphorstair_runtime import links, node
+from camphorstair_core import (
+    membership,
+    membership_messages,
+    messages,
+)
+from camphorstair_runtime import clocks, closing, links, node
 
 _LOG = logging.getLogger(__name__)
 _KIB = 1024
+_MS_IN_S = 1000
 
 LinkHandler = abc.Callable[
     [links.Link, messages.RequestStart],
     abc.Awaitable[None],
 ]
+NamedSource = abc.Callable[[str, float], float]
+
+
+def never_named(name: str, now_s: float) -> float:
+    """Return the time of a process that has no directory."""
+    return 0
+
+
+def _ignore_change() -> None:
+    """Take no notice of a change."""
 
 
 def status(state: node.NodeState, service: str = '') -> messages.NodeStatus:
@@ -58,30 +73,83 @@
     :ivar state: The state of this process.
     :ivar service: The service behind it, if it is an agent.
     :ivar run_request: Runs a request, if it is an agent.
+    :ivar named_s: How long directory answers that name a VM are in force.
+    :ivar changed: Called when a process said that it leaves or is there.
+    :ivar ended: Whether no further message is read.
+    :ivar idle: Sockets of links on which no message is awaited or answered.
+    :ivar running: Number of requests in progress.
+    :ivar open_links: Number of open links.
     """
 
     state: node.NodeState
     service: str = ''
     run_request: LinkHandler | None = None
+    named_s: NamedSource = never_named
+    changed: abc.Callable[[], None] = _ignore_change
+    ended: bool = False
+    idle: set[curio.io.Socket] = attrs.field(factory=set)
+    running: int = 0
+    open_links: int = 0
 
     async def serve(self, sock: curio.io.Socket, address: object) -> None:
         """Answer the messages of one link."""
         link = links.accept(sock)
+        self.open_links += 1
         try:
             await self._serve(link)
         except links.LinkError as error:
             _LOG.debug('link ended: %s', error)
         finally:
+            self.open_links -= 1
             await link.close()
 
+    def idle_links(self) -> int:
+        """Return on how many links no request is in progress."""
+        return self.open_links - self.running
+
+    def end_idle(self) -> None:
+        """End the links on which no request is in progress."""
+        self.ended = True
+        for sock in self.idle:
+            closing.stop_reading(sock)
+
     async def _serve(self, link: links.Link) -> None:
         while True:
-            message = await link.receive()
+            try:
+                message = await self._receive(link)
+            except links.LinkError:
+                await self._say_ended(link)
+                raise
             if isinstance(message, messages.RequestStart):
                 await self._run(link, message)
             else:
                 await link.send(self._answer(message))
 
+    async def _receive(self, link: links.Link) -> object:
+        self.idle.add(link.sock)
+        if self.ended:
+            closing.stop_reading(link.sock)
+        try:
+            return await link.receive()
+        finally:
+            self.idle.discard(link.sock)
+
+    async def _say_ended(self, link: links.Link) -> None:
+        """Tell an entry that no request it may have sent was read."""
+        if not self.ended or self.run_request is None:
+            return
+        await link.send(
+            messages.RequestRefused(
+                request_id='',
+                code='leaving',
+                message='the link ends; no request on its way was read',
+                retry_after_ms=0,
+                load=self.state.load,
+                revision=self.state.holder.revision(),
+            ),
+        )
+        await closing.linger(link.sock)
+
     async def _run(
         self,
         link: links.Link,
@@ -89,7 +157,11 @@
     ) -> None:
         if self.run_request is None:
             raise links.LinkError('a request came to a process without one')
-        await self.run_request(link, start)
+        self.running += 1
+        try:
+            await self.run_request(link, start)
+        finally:
+            self.running -= 1
 
     def _answer(self, message: object) -> object:
         if isinstance(message, messages.Hello):
@@ -98,8 +170,47 @@
             return configuration_reply(self.state, message)
         if isinstance(message, messages.StatusRequest):
             return status(self.state, self.service)
+        if isinstance(message, membership_messages.Heartbeat):
+            return self._answer_heartbeat(message)
+        if isinstance(message, membership_messages.Leaving):
+            return self._answer_leaving(message)
         raise links.LinkError(f'unexpected {type(message).__name__}')
 
+    def _answer_heartbeat(
+        self,
+        received: membership_messages.Heartbeat,
+    ) -> membership_messages.Heartbeat:
+        membership.note_heartbeat(
+            self.state.members,
+            received,
+            clocks.monotonic_s(),
+        )
+        self.changed()
+        return heartbeat(self.state)
+
+    def _answer_leaving(
+        self,
+        received: membership_messages.Leaving,
+    ) -> membership_messages.LeavingReply:
+        now_s = clocks.monotonic_s()
+        membership.note_leaving(self.state.members, received, now_s)
+        _LOG.info('peer leaves', extra={'peer': received.node})
+        self.changed()
+        return membership_messages.LeavingReply(
+            self.state.identity.name,
+            round(self.named_s(received.node, now_s) * _MS_IN_S),
+        )
+
+
+def heartbeat(state: node.NodeState) -> membership_messages.Heartbeat:
+    """Return the heartbeat of this process."""
+    return membership_messages.Heartbeat(
+        state.identity.name,
+        state.holder.revision(),
+        state.leaving,
+        membership.news(state.members, clocks.monotonic_s()),
+    )
+
 
 async def call(
     address: tuple[str, int],
--- a/packages/runtime/src/camphorstair_runtime/settings.py
+++ b/packages/runtime/src/camphorstair_runtime/settings.py
@@ -88,6 +88,13 @@
     limit_s: float = 60.0
 
 
+@attrs.define
+class Directory:
+    """How long callers may keep an answer of the directory."""
+
+    answer_lifetime_s: float = 30.0
+
+
 @attrs.define
 class EntrySettings:
     """Settings of ``camphorstair serve``."""
@@ -98,6 +105,7 @@
     security: Security
     logging: Logging = attrs.field(factory=Logging)
     shutdown: Shutdown = attrs.field(factory=Shutdown)
+    directory: Directory = attrs.field(factory=Directory)
 
 
 @attrs.define
@@ -208,6 +216,11 @@
     limit_s = converted.shutdown.limit_s
     if limit_s <= 0:
         raise ValueError(f'shutdown.limit_s: {limit_s} is not above 0')
+    if isinstance(converted, EntrySettings):
+        lifetime_s = converted.directory.answer_lifetime_s
+        if lifetime_s <= 0:
+            key = 'directory.answer_lifetime_s'
+            raise ValueError(f'{key}: {lifetime_s} is not above 0')
     level = converted.logging.level
     if level not in _LEVELS:
         raise ValueError(f'logging.level: "{level}" is none of {_LEVELS}')
--- a/packages/runtime/src/camphorstair_runtime/signals.py
+++ b/packages/runtime/src/camphorstair_runtime/signals.py
@@ -21,3 +21,13 @@
         signal.signal(number, _ignore)
     signal.set_wakeup_fd(sender.detach())
     return curio.io.Socket(receiver)
+
+
+def ignore() -> None:
+    """Ignore further signals while the interpreter exits.
+
+    The interpreter restores the default action of a signal that has a handler
+    before it ends; a second SIGTERM would then change the exit code.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
--- a/packages/standins/src/camphorstair_standins/fleet.py
+++ b/packages/standins/src/camphorstair_standins/fleet.py
@@ -12,6 +12,7 @@
 from camphorstair_standins import loopback, process_table, sites
 
 START_LIMIT_S = 30.0
+ANSWER_LIFETIME_S = 1.0
 TOKEN_KEY = b'demo key of the stand-in fleet'
 
 
@@ -28,6 +29,8 @@
     :ivar listed: Its VMs.
     :ivar endpoint_addresses: Address of each endpoint, by its VM's name.
     :ivar engine_settings: Behaviour of its engines, as JSON.
+    :ivar booking_s: Time that its plain services take for a booking.
+    :ivar shutdown_limit_s: Upper bound of a graceful shutdown.
     :ivar processes: Its processes by name.
     """
 
@@ -38,6 +41,8 @@
     listed: list[vms.Vm] = attrs.field(factory=list)
     endpoint_addresses: dict[str, str] = attrs.field(factory=dict)
     engine_settings: str = '{}'
+    booking_s: float = 0.02
+    shutdown_limit_s: float = 60.0
     processes: process_table.ProcessTable = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -124,7 +129,7 @@
             self.endpoint_addresses[vm.name] = address
             name = f'{vm.name}-endpoint'
             if vm.service == 'comptoir':
-                self._spawn_standin(name, 'plain', address)
+                self._spawn_standin(name, 'plain', address, str(self.booking_s))
             else:
                 behaviour = self.engine_settings
                 self._spawn_standin(name, 'engine', address, behaviour)
@@ -160,11 +165,15 @@
         '[security]',
         'plain = true',
         f'token_key = "{fleet.directory}/token.key"',
+        '[shutdown]',
+        f'limit_s = {fleet.shutdown_limit_s}',
         '[listen]',
         f'peers = "{vm.peers_address}"',
     ]
     if vm.role is vms.VmRole.entry:
         lines.append(f'callers = "{vm.callers_address}"')
+        lines.append('[directory]')
+        lines.append(f'answer_lifetime_s = {ANSWER_LIFETIME_S}')
     else:
         lines.append('[endpoint]')
         lines.append(f'address = "{fleet.endpoint_addresses[vm.name]}"')
--- a/packages/standins/src/camphorstair_standins/plain.py
+++ b/packages/standins/src/camphorstair_standins/plain.py
@@ -1,6 +1,6 @@
 """Stand-in for a plain service that books yards.
 
-``python -m camphorstair_standins.plain IP:port``
+``python -m camphorstair_standins.plain IP:port [SECONDS a booking takes]``
 """
 
 import http
@@ -28,9 +28,11 @@
     """State of the service.
 
     :ivar runs: How often each request ran, by its identifier.
+    :ivar booking_s: Time that a booking takes.
     """
 
     runs: dict[str, int] = attrs.field(factory=dict)
+    booking_s: float = BOOKING_S
 
     async def handle(
         self,
@@ -42,7 +44,7 @@
         if request.method == 'POST':
             identifier = request.header('x-request-id')
             self.runs[identifier] = self.runs.get(identifier, 0) + 1
-            await curio.sleep(BOOKING_S)
+            await curio.sleep(self.booking_s)
             payload = Booked(len(self.runs), identifier)
         await responder.respond(
             http_messages.json_response(http.HTTPStatus.OK, payload),
@@ -50,4 +52,5 @@
 
 
 if __name__ == '__main__':
-    serving.run(sys.argv[1], PlainService().handle)
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else BOOKING_S
+    serving.run(sys.argv[1], PlainService(booking_s=seconds).handle)
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,232 @@
+"""Graceful shutdown of real entries and agents while requests run."""
+
+import json
+import pathlib
+import signal
+import socket
+import typing
+from collections import abc
+from concurrent import futures
+
+import curio
+import pytest
+
+from camphorstair_core import messages, vms
+from camphorstair_runtime import links, settings
+from camphorstair_standins import fleet, loopback, sites
+
+LIMIT_S = 20.0
+SITE = sites.Site(
+    region='qc-est',
+    data_centres=('levis-nord', 'levis-sud'),
+    entries=1,
+    endpoints={'redacteur': 1, 'comptoir': 1},
+    rules=sites.LEVIS_RULES,
+)
+DRAFT = json.dumps(
+    {'model': 'redacteur-8b', 'stream': True, 'messages': []},
+).encode()
+
+
+@pytest.fixture
+def slow_fleet(tmp_path: pathlib.Path) -> abc.Iterator[fleet.Fleet]:
+    """Yield a fleet whose answers take a second or two."""
+    running = fleet.Fleet(tmp_path, SITE)
+    running.engine_settings = '{"tokens":60,"token_interval_s":0.03}'
+    running.booking_s = 1.0
+    running.shutdown_limit_s = 10.0
+    try:
+        running.start()
+        yield running
+    finally:
+        running.processes.stop()
+
+
+def headers(running: fleet.Fleet) -> dict[str, str]:
+    return {'authorization': f'Bearer {running.token("gravier")}'}
+
+
+def draft(running: fleet.Fleet, entry: vms.Vm) -> loopback.HttpAnswer:
+    path = '/v1/chat/completions'
+    return loopback.http_call(
+        entry.callers_address, path, DRAFT, headers(running)
+    )
+
+
+def book(running: fleet.Fleet, entry: vms.Vm) -> loopback.HttpAnswer:
+    return loopback.http_call(
+        entry.callers_address, '/bookings', b'{}', headers(running)
+    )
+
+
+def busy_agent(running: fleet.Fleet, service: str) -> vms.Vm:
+    """Wait until an endpoint of a service works, and return its VM."""
+    found: list[vms.Vm] = []
+
+    def working() -> bool:
+        for vm in running.agents:
+            if vm.service == service and endpoint_works(running, vm):
+                found.append(vm)
+        return bool(found)
+
+    loopback.wait_for(working, LIMIT_S)
+    return found[0]
+
+
+def endpoint_works(running: fleet.Fleet, vm: vms.Vm) -> bool:
+    address = running.endpoint_addresses[vm.name]
+    if vm.service == 'comptoir':
+        return bool(loopback.http_call(address, '/runs').json())
+    return bool(loopback.http_call(address, '/stats').json()['in_flight'])
+
+
+def terminate(running: fleet.Fleet, name: str) -> None:
+    running.processes.send(name, signal.SIGTERM)
+
+
+def exit_code(running: fleet.Fleet, name: str) -> int:
+    return running.processes.rows[name].wait(LIMIT_S)
+
+
+@pytest.mark.parametrize('who', ['entry', 'agent'])
+def test_sigterm_cuts_no_stream(slow_fleet: fleet.Fleet, who: str) -> None:
+    entry = slow_fleet.entries[0]
+    with futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(draft, slow_fleet, entry)
+        agent = busy_agent(slow_fleet, 'redacteur')
+        name = entry.name if who == 'entry' else agent.name
+        terminate(slow_fleet, name)
+        answer = call.result()
+    assert answer.body.endswith(b'data: [DONE]\n\n')
+    assert answer.body.count(b'"content"') == 61
+    assert exit_code(slow_fleet, name) == 0
+
+
+@pytest.mark.parametrize('who', ['entry', 'agent'])
+def test_sigterm_cuts_no_booking(slow_fleet: fleet.Fleet, who: str) -> None:
+    entry = slow_fleet.entries[0]
+    with futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(book, slow_fleet, entry)
+        agent = busy_agent(slow_fleet, 'comptoir')
+        name = entry.name if who == 'entry' else agent.name
+        terminate(slow_fleet, name)
+        assert call.result().json()['booking'] == 1
+    assert exit_code(slow_fleet, name) == 0
+
+
+def test_a_bound_that_is_reached_is_logged(slow_fleet: fleet.Fleet) -> None:
+    slow_fleet.shutdown_limit_s = 0.2
+    entry = slow_fleet.entries[1]
+    terminate(slow_fleet, entry.name)
+    assert exit_code(slow_fleet, entry.name) == 0
+    slow_fleet.start_vm(entry)
+    loopback.wait_for(lambda: healthy(entry), LIMIT_S)
+    with futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(draft, slow_fleet, entry)
+        busy_agent(slow_fleet, 'redacteur')
+        terminate(slow_fleet, entry.name)
+        assert call.exception() is not None
+    assert exit_code(slow_fleet, entry.name) == 0
+    log = slow_fleet.processes.log_path(entry.name).read_text()
+    assert 'shutdown limit of 0.' in log
+
+
+def healthy(entry: vms.Vm) -> bool:
+    address = entry.callers_address
+    if not loopback.listening(address):
+        return False
+    return loopback.http_call(address, '/healthz').status == 200
+
+
+def test_half_a_head_is_read_to_its_end(slow_fleet: fleet.Fleet) -> None:
+    entry = slow_fleet.entries[0]
+    host, port = settings.split_address(entry.callers_address)
+    token = headers(slow_fleet)['authorization']
+    with socket.create_connection((host, port), LIMIT_S) as sock:
+        sock.sendall(b'POST /bookings HTTP/1.1\r\nhost: entry\r\n')
+        wait_started(slow_fleet, entry)
+        terminate(slow_fleet, entry.name)
+        wait_leaving(slow_fleet, entry)
+        rest = f'authorization: {token}\r\ncontent-length: 2\r\n\r\n{{}}'
+        sock.sendall(rest.encode())
+        answer = b''.join(iter(lambda: sock.recv(65536), b''))
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert b'connection: close' in answer.lower()
+    assert b'"booking":1' in answer
+
+
+def wait_started(running: fleet.Fleet, entry: vms.Vm) -> None:
+    """Wait until an entry has had the time to read what was sent to it."""
+    assert loopback.http_call(entry.callers_address, '/healthz').status == 200
+
+
+def wait_leaving(running: fleet.Fleet, entry: vms.Vm) -> None:
+    path = running.processes.log_path(entry.name)
+    loopback.wait_for(lambda: 'shutting down' in path.read_text(), LIMIT_S)
+
+
+def test_the_directory_leaves_out_a_leaving_entry_at_once(
+    slow_fleet: fleet.Fleet,
+) -> None:
+    leaver, other = slow_fleet.entries
+    target = '/v1/entries'
+    named = loopback.http_call(other.callers_address, target).json()
+    assert leaver.callers_address in named['addresses']
+    with futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(draft, slow_fleet, leaver)
+        busy_agent(slow_fleet, 'redacteur')
+        terminate(slow_fleet, leaver.name)
+        log = slow_fleet.processes.log_path(other.name)
+        loopback.wait_for(lambda: 'peer leaves' in log.read_text(), LIMIT_S)
+        for asked in (other, leaver):
+            named = loopback.http_call(asked.callers_address, target).json()
+            assert named['addresses'] == [other.callers_address]
+        assert call.result().body.endswith(b'data: [DONE]\n\n')
+
+
+def test_a_request_to_a_leaving_agent_is_refused_as_not_run(
+    slow_fleet: fleet.Fleet,
+) -> None:
+    with futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(draft, slow_fleet, slow_fleet.entries[0])
+        agent = busy_agent(slow_fleet, 'redacteur')
+        replies = curio.run(_ask_leaving, slow_fleet, agent)
+        assert call.result().body.endswith(b'data: [DONE]\n\n')
+    assert [type(reply) for reply in replies] == [
+        messages.RequestRefused,
+        messages.RequestRefused,
+    ]
+    assert replies[0].request_id == 'late'
+    assert {reply.code for reply in replies} == {'leaving'}
+
+
+async def _ask_leaving(
+    running: fleet.Fleet,
+    agent: vms.Vm,
+) -> list[typing.Any]:
+    host, port = settings.split_address(agent.peers_address)
+    link = await links.connect(host, port, None, LIMIT_S)
+    await link.call(messages.StatusRequest())
+    terminate(running, agent.name)
+    status: typing.Any = await link.call(messages.StatusRequest())
+    while not status.leaving:
+        status = await link.call(messages.StatusRequest())
+    start = messages.RequestStart(
+        request_id='late',
+        attempt=1,
+        service='redacteur',
+        organisation='gravier',
+        priority=1,
+        idempotent=False,
+        idempotency_key='',
+        method='POST',
+        path='/v1/chat/completions',
+        headers=[],
+        body=DRAFT,
+        remaining_ms=1000,
+    )
+    await link.send(start)
+    refused = await link.receive()
+    farewell = await link.receive()
+    await link.close()
+    return [refused, farewell]
