--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -1,6 +1,7 @@
 """Answers what other processes of the system ask."""
 
 import logging
+import pathlib
 import resource
 import time
 from collections import abc
@@ -16,8 +17,8 @@
 from camphorstair_runtime import clocks, closing, links, node
 
 _LOG = logging.getLogger(__name__)
-_KIB = 1024
 _MS_IN_S = 1000
+_STATM = pathlib.Path('/proc/self/statm')
 
 LinkHandler = abc.Callable[
     [links.Link, messages.RequestStart],
@@ -37,7 +38,6 @@
 
 def status(state: node.NodeState, service: str = '') -> messages.NodeStatus:
     """Return the state of this process."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
     return messages.NodeStatus(
         node=state.identity.name,
         role=state.role.value,
@@ -46,11 +46,16 @@
         leaving=state.leaving,
         load=state.load,
         service=service,
-        memory_bytes=usage.ru_maxrss * _KIB,
+        memory_bytes=_resident_bytes(),
         processor_s=time.process_time(),
     )
 
 
+def _resident_bytes() -> int:
+    pages = int(_STATM.read_text(encoding='ascii').split()[1])
+    return pages * resource.getpagesize()
+
+
 def configuration_reply(
     state: node.NodeState,
     request: messages.ConfigurationRequest,
