--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -184,6 +184,23 @@
         assert call.result().body.endswith(b'data: [DONE]\n\n')
 
 
+def test_the_directory_leaves_out_an_entry_that_died(
+    slow_fleet: fleet.Fleet,
+) -> None:
+    dead, other = slow_fleet.entries
+    target = '/v1/entries'
+
+    def named() -> list[str]:
+        answer = loopback.http_call(other.callers_address, target)
+        return list(answer.json()['addresses'])
+
+    assert dead.callers_address in named()
+    slow_fleet.processes.kill(dead.name)
+    loopback.wait_for(lambda: named() == [other.callers_address], LIMIT_S)
+    slow_fleet.start_vm(dead)
+    loopback.wait_for(lambda: dead.callers_address in named(), LIMIT_S)
+
+
 def test_a_request_to_a_leaving_agent_is_refused_as_not_run(
     slow_fleet: fleet.Fleet,
 ) -> None:
