--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,13 @@
 
 import attrs
 
-from camphorstair_core import changes, verdicts, vm_lists, vms
+from camphorstair_core import (
+    changes,
+    membership_messages,
+    verdicts,
+    vm_lists,
+    vms,
+)
 
 
 @attrs.define
@@ -234,5 +240,8 @@
         11: NodeStatus,
         40: VmListRequest,
         41: VmListReply,
+        50: membership_messages.Heartbeat,
+        51: membership_messages.Leaving,
+        52: membership_messages.LeavingReply,
     },
 )
