Make streams whole over failures of engines, agents and links

Cause: the entry waited without a limit for a stopped agent; a resumed engine that sends events again made the caller see them twice; heads, refusals and failures of other attempts were not checked; a stream without event numbers was begun again from its start; the end of a stream without a final blank line and streams with CRLF lines were held back and lost; an idle link whose agent had restarted failed its next request; the reserve of ten retries broke the other streams when an endpoint with more of them died; a passed deadline ejected the endpoint.

Change: identifiers and attempts of all replies are checked; chunks carry their first event, so that the entry drops repeated events and refuses gaps; one task an attempt notices silence and asks the agent for a heartbeat before the request moves on; the entry ends requests at their deadline by itself; callers may give it in x-camphorstair-timeout-ms; refusals and failures have a retry budget each.

The hypothesis test found that an empty chunk was counted as an event; mended.

--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -182,19 +182,33 @@
     while chunk is not None:
         if kind.startswith(_EVENT_STREAM):
             chunk = cutter.cut(chunk)
-        if chunk:
-            sequence += 1
-            await link.send(
-                messages.ResponseChunk(
-                    start.request_id,
-                    start.attempt,
-                    sequence,
-                    cutter.last_event,
-                    chunk,
-                ),
-            )
+        sequence += await _send_chunk(link, start, cutter, sequence, chunk)
         chunk = await exchange.read()
-    return sequence
+    rest = cutter.flush()
+    return sequence + await _send_chunk(link, start, cutter, sequence, rest)
+
+
+async def _send_chunk(
+    link: links.Link,
+    start: messages.RequestStart,
+    cutter: event_stream.EventCutter,
+    sequence: int,
+    chunk: bytes,
+) -> int:
+    """Send a part unless it is empty; return how many were sent."""
+    if not chunk:
+        return 0
+    await link.send(
+        messages.ResponseChunk(
+            start.request_id,
+            start.attempt,
+            sequence + 1,
+            cutter.last_event,
+            chunk,
+            cutter.first_event,
+        ),
+    )
+    return 1
 
 
 def _verdict(error: BaseException) -> verdicts.Verdict:
--- a/packages/core/src/camphorstair_core/answers.py
+++ b/packages/core/src/camphorstair_core/answers.py
@@ -1,10 +1,20 @@
 """Checks that the parts of an answer belong together and are all there."""
 
+import typing
+
 import attrs
 
 from camphorstair_core import errors, messages, verdicts
 
 Part = messages.ResponseChunk | messages.ResponseEnd
+Reply = (
+    messages.ResponseHead
+    | messages.ResponseChunk
+    | messages.ResponseEnd
+    | messages.ResponseFailed
+    | messages.RequestRefused
+)
+REPLIES = typing.get_args(Reply)
 
 
 @attrs.define
@@ -14,26 +24,26 @@
     :ivar request_id: Identifier of the request.
     :ivar attempt: Number of the attempt.
     :ivar sequence: Number of the last part that was taken.
-    :ivar last_event: Number of the last event that was taken.
     :ivar dropped: Parts of other requests or attempts, and repeated parts.
     """
 
     request_id: str
     attempt: int
     sequence: int = 0
-    last_event: int = 0
     dropped: int = 0
 
 
-def belongs(progress: AnswerProgress, part: Part) -> bool:
-    """Tell whether a part is of this attempt and not a repeated one."""
-    same = (part.request_id, part.attempt) == (
-        progress.request_id,
-        progress.attempt,
-    )
+def belongs(progress: AnswerProgress, reply: Reply) -> bool:
+    """Tell whether a reply is of this attempt and not a repeated part.
+
+    A refusal carries no attempt: it is the last message of its exchange.
+    """
+    same = reply.request_id == progress.request_id
+    if not isinstance(reply, messages.RequestRefused):
+        same = same and reply.attempt == progress.attempt
     repeated = (
-        isinstance(part, messages.ResponseChunk)
-        and part.sequence <= progress.sequence
+        isinstance(reply, messages.ResponseChunk)
+        and reply.sequence <= progress.sequence
     )
     if same and not repeated:
         return True
@@ -50,9 +60,11 @@
     :raises errors.RequestError: if a part before it is missing.
     """
     if chunk.sequence != progress.sequence + 1:
-        raise _broken(progress, f'part {progress.sequence + 1} is missing')
+        raise broken(
+            progress.request_id,
+            f'part {progress.sequence + 1} is missing',
+        )
     progress.sequence = chunk.sequence
-    progress.last_event = chunk.last_event or progress.last_event
 
 
 def take_end(progress: AnswerProgress, end: messages.ResponseEnd) -> None:
@@ -61,13 +73,16 @@
     :raises errors.RequestError: if the number of parts is not the announced.
     """
     if end.sequence != progress.sequence:
-        message = f'{progress.sequence} of {end.sequence} parts came'
-        raise _broken(progress, message)
+        raise broken(
+            progress.request_id,
+            f'{progress.sequence} of {end.sequence} parts came',
+        )
 
 
-def _broken(progress: AnswerProgress, message: str) -> errors.RequestError:
+def broken(request_id: str, message: str) -> errors.RequestError:
+    """Return the error of an answer whose parts do not fit together."""
     return errors.RequestError(
         errors.answer_broken,
-        f'request {progress.request_id}: {message}',
+        f'request {request_id}: {message}',
         verdicts.Verdict.may_have_run,
     )
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -17,6 +17,7 @@
     :ivar vm: Its VM.
     :ivar load: The last load that its agent reported.
     :ivar load_deadline_s: When that report is too old to count.
+    :ivar heard_s: When its agent last sent a load or a heartbeat.
     :ivar own_in_flight: Requests of this entry that it works on.
     :ivar failures: Failed attempts since the last that went well.
     :ivar ejected_deadline_s: Until when it is not chosen.
@@ -30,6 +31,7 @@
     own_in_flight: int = 0
     failures: int = 0
     ejected_deadline_s: float = 0
+    heard_s: float = 0
     leaving: bool = False
     out: bool = False
 
@@ -119,6 +121,7 @@
 ) -> None:
     """Keep a load report that came with an answer."""
     endpoint.load = load
+    endpoint.heard_s = now_s
     endpoint.load_deadline_s = now_s + LOAD_AGE_LIMIT_S
 
 
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -132,6 +132,7 @@
     :ivar sequence: Number of the part in this attempt, from 1.
     :ivar last_event: Number of the last event it holds; 0 if not a stream.
     :ivar body: The bytes.
+    :ivar first_event: Number of the first event it holds; 0 if none has one.
     """
 
     request_id: str
@@ -139,6 +140,7 @@
     sequence: int
     last_event: int
     body: bytes
+    first_event: int = 0
 
 
 @attrs.define
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -1,10 +1,19 @@
 """One attempt at a request, on one endpoint."""
 
+import http
+
 import attrs
 import curio
 
-from camphorstair import entry_state
-from camphorstair_core import answers, endpoints, errors, messages, verdicts
+from camphorstair import entry_state, receiving
+from camphorstair_core import (
+    answers,
+    endpoints,
+    errors,
+    event_offsets,
+    messages,
+    verdicts,
+)
 from camphorstair_runtime import (
     clocks,
     http_messages,
@@ -12,7 +21,6 @@
     links,
 )
 
-HELLO_LIMIT_S = 1.0
 _EVENT_STREAM = 'text/event-stream'
 _MS_IN_S = 1000
 
@@ -22,12 +30,14 @@
     """What the caller has of the answer, over all attempts.
 
     :ivar responder: The way to the caller.
-    :ivar last_event: Number of the last event that the caller has.
+    :ivar offset: How far the caller has an event stream.
     :ivar streaming: Whether parts were passed on before the end.
     """
 
     responder: http_server.Responder
-    last_event: int = 0
+    offset: event_offsets.EventOffset = attrs.field(
+        factory=event_offsets.EventOffset,
+    )
     streaming: bool = False
 
 
@@ -40,6 +50,8 @@
     :ivar start: The request as it is sent.
     :ivar answer: What the caller has of the answer.
     :ivar progress: What has come of this attempt's answer.
+    :ivar sent: Whether the agent may have the request.
+    :ivar complete: Whether the exchange on the link is over.
     """
 
     entry: entry_state.Entry
@@ -47,6 +59,8 @@
     start: messages.RequestStart
     answer: Answer
     progress: answers.AnswerProgress
+    sent: bool = False
+    complete: bool = False
 
     async def run(self) -> None:
         """Run the request and pass the answer on.
@@ -55,11 +69,11 @@
         """
         link = await self._open()
         self.endpoint.own_in_flight += 1
-        whole = False
         try:
-            await self._exchange(link)
-            whole = True
+            await self._exchange_watched(link)
         except links.LinkError as error:
+            if isinstance(error, receiving.AgentSilentError):
+                self.entry.instruments.silent_agents.add(1)
             raise self._failed(
                 errors.endpoint_failed,
                 str(error),
@@ -67,56 +81,100 @@
             ) from error
         finally:
             self.endpoint.own_in_flight -= 1
-            if whole:
-                await self.entry.pool.give_back(self.endpoint.vm, link)
-            else:
-                await link.close()
+            await self._leave(link)
+
+    def verdict(self) -> verdicts.Verdict:
+        """Return what is known while no reply has come."""
+        if self.sent:
+            return verdicts.Verdict.may_have_run
+        return verdicts.Verdict.not_run
+
+    async def _leave(self, link: links.Link) -> None:
+        self.entry.instruments.dropped_parts.add(self.progress.dropped)
+        offset = self.answer.offset
+        self.entry.instruments.repeated_events.add(offset.repeated)
+        offset.repeated = 0
+        if self.complete:
+            await self.entry.pool.give_back(self.endpoint.vm, link)
+        else:
+            await link.close()
 
     async def _open(self) -> links.Link:
         try:
-            link = await self.entry.pool.take(self.endpoint.vm)
-            if not self.start.idempotent:
-                await self._check_alive(link)
-        except (links.LinkError, curio.TaskTimeout) as error:
+            return await self._open_checked()
+        except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
             raise self._failed(
                 errors.endpoint_failed,
                 str(error),
                 verdicts.Verdict.not_run,
             ) from error
+
+    async def _open_checked(self) -> links.Link:
+        link = await self.entry.pool.take(self.endpoint.vm)
+        if self.start.idempotent:
+            return link
+        checked = False
+        try:
+            await receiving.check_alive(link, self.entry.state.hello())
+            checked = True
+        finally:
+            if not checked:
+                await link.close()
         return link
 
-    async def _check_alive(self, link: links.Link) -> None:
-        hello = self.entry.state.hello()
-        await curio.timeout_after(HELLO_LIMIT_S, link.call, hello)
+    async def _exchange_watched(self, link: links.Link) -> None:
+        """Run the exchange; only an idempotent request is moved elsewhere."""
+        receiver = receiving.Receiver(
+            link,
+            self.endpoint,
+            self.entry.pool,
+            self.entry.state.hello(),
+            self.progress,
+        )
+        if not self.start.idempotent:
+            await self._exchange(receiver)
+            return
+        watch = await curio.spawn(receiver.watch, daemon=True)
+        try:
+            await self._exchange(receiver)
+        finally:
+            await watch.cancel()
 
-    async def _exchange(self, link: links.Link) -> None:
-        await link.send(self.start)
-        head = await link.receive()
+    async def _exchange(self, receiver: receiving.Receiver) -> None:
+        self.sent = True
+        await receiver.link.send(self.start)
+        head = await receiver.receive(receiving.first_limit_s(self.start))
         if isinstance(head, messages.RequestRefused):
+            self.complete = True
             raise self._refused(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
         if not isinstance(head, messages.ResponseHead):
             raise links.LinkError(f'unexpected {type(head).__name__}')
         self._note_load(head.load)
-        await self._copy(link, head)
+        await self._copy(receiver, head)
         endpoints.note_success(self.endpoint)
 
     async def _copy(
         self,
-        link: links.Link,
+        receiver: receiving.Receiver,
         head: messages.ResponseHead,
     ) -> None:
-        kind = http_messages.header(head.headers, 'content-type')
-        if kind.startswith(_EVENT_STREAM):
-            await self._pass_on(link, head)
+        if _is_event_stream(head):
+            await self._pass_on(receiver, head)
             return
+        if self.answer.streaming:
+            raise self._failed(
+                errors.answer_broken,
+                f'status {head.status} in place of the rest of a stream',
+                verdicts.Verdict.may_have_run,
+            )
         body = bytearray()
-        chunk = await self._next_chunk(link)
+        chunk = await self._next_chunk(receiver)
         while chunk is not None:
             body.extend(chunk.body)
-            chunk = await self._next_chunk(link)
+            chunk = await self._next_chunk(receiver)
         response = http_messages.Response(
             head.status,
             head.headers,
@@ -126,43 +184,49 @@
 
     async def _pass_on(
         self,
-        link: links.Link,
+        receiver: receiving.Receiver,
         head: messages.ResponseHead,
     ) -> None:
-        responder = self.answer.responder
-        if not self.answer.streaming:
-            self.answer.streaming = True
-            await responder.start(head.status, head.headers)
-        chunk = await self._next_chunk(link)
+        answer = self.answer
+        resumed = self.start.after_event > 0
+        if not answer.streaming:
+            answer.streaming = True
+            await answer.responder.start(head.status, head.headers)
+        chunk = await self._next_chunk(receiver)
         while chunk is not None:
-            await responder.send(chunk.body)
-            self.answer.last_event = self.progress.last_event
-            chunk = await self._next_chunk(link)
-        await responder.finish()
+            lacking = event_offsets.take_events(
+                answer.offset,
+                chunk,
+                resumed=resumed,
+            )
+            if lacking:
+                await answer.responder.send(lacking)
+            chunk = await self._next_chunk(receiver)
+        await answer.responder.finish()
 
     async def _next_chunk(
         self,
-        link: links.Link,
+        receiver: receiving.Receiver,
     ) -> messages.ResponseChunk | None:
-        part = await self._next_part(link)
+        first = self.progress.sequence == 0
+        limit_s = (
+            receiving.first_limit_s(self.start)
+            if first
+            else receiving.PART_LIMIT_S
+        )
+        part = await receiver.receive(limit_s)
+        if isinstance(part, messages.ResponseFailed):
+            raise self._endpoint_failed(part)
         if isinstance(part, messages.ResponseEnd):
             answers.take_end(self.progress, part)
             self._note_load(part.load)
+            self.complete = True
             return None
+        if not isinstance(part, messages.ResponseChunk):
+            raise links.LinkError(f'unexpected {type(part).__name__}')
         answers.take_chunk(self.progress, part)
         return part
 
-    async def _next_part(self, link: links.Link) -> answers.Part:
-        while True:
-            part = await link.receive()
-            if isinstance(part, messages.ResponseFailed):
-                raise self._endpoint_failed(part)
-            if not isinstance(part, answers.Part):
-                raise links.LinkError(f'unexpected {type(part).__name__}')
-            if answers.belongs(self.progress, part):
-                return part
-            self.entry.instruments.dropped_parts.add(1)
-
     def _note_load(self, load: messages.LoadReport) -> None:
         endpoints.note_load(self.endpoint, load, clocks.monotonic_s())
 
@@ -182,10 +246,17 @@
         self,
         failed: messages.ResponseFailed,
     ) -> errors.RequestError:
-        code = errors.endpoint_failed
         if failed.code == errors.deadline_exceeded.name:
-            code = errors.deadline_exceeded
-        return self._failed(code, failed.message, failed.verdict)
+            return errors.RequestError(
+                errors.deadline_exceeded,
+                f'endpoint {self.endpoint.vm.name}: {failed.message}',
+                failed.verdict,
+            )
+        return self._failed(
+            errors.endpoint_failed,
+            failed.message,
+            failed.verdict,
+        )
 
     def _failed(
         self,
@@ -200,3 +271,8 @@
             f'endpoint {name}: {message}',
             verdict,
         )
+
+
+def _is_event_stream(head: messages.ResponseHead) -> bool:
+    kind = http_messages.header(head.headers, 'content-type')
+    return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
--- a/packages/entry/src/camphorstair/callers.py
+++ b/packages/entry/src/camphorstair/callers.py
@@ -21,8 +21,13 @@
 from camphorstair_runtime import clocks, http_messages, http_server, metrics
 
 DEFAULT_LIMIT_S = 120.0
+MAX_LIMIT_S = 3600.0
+REPORT_LIMIT_S = 1.0
+TIMEOUT_HEADER = 'x-camphorstair-timeout-ms'
 ENTRIES_PATH = '/v1/entries'
 _IDENTIFIER_BITS = 128
+_MS_IN_S = 1000
+_OWN_HEADERS = frozenset(('authorization', TIMEOUT_HEADER))
 
 _LOG = logging.getLogger(__name__)
 
@@ -111,6 +116,7 @@
             self.entry.token_key,
             request.header('authorization'),
         )
+        deadline_s = clocks.monotonic_s() + _limit_s(request)
         decision = self._decide(request, organisation)
         self._check_limit(organisation)
         start = self._start_message(request, organisation, decision)
@@ -122,7 +128,7 @@
                 self.entry,
                 start,
                 attempts.Answer(responder),
-                clocks.monotonic_s() + DEFAULT_LIMIT_S,
+                deadline_s,
             ).run()
         finally:
             in_flight[organisation] -= 1
@@ -184,9 +190,25 @@
         )
 
 
+def _limit_s(request: http_messages.Request) -> float:
+    """Return the time until the caller gives up."""
+    given = request.header(TIMEOUT_HEADER)
+    if not given:
+        return DEFAULT_LIMIT_S
+    digits = given.isascii() and given.isdigit()
+    limit_s = int(given) / _MS_IN_S if digits and len(given) < 10 else 0
+    if 0 < limit_s <= MAX_LIMIT_S:
+        return limit_s
+    raise errors.RequestError(
+        errors.bad_request,
+        f'{TIMEOUT_HEADER} must be a whole number of milliseconds from 1 to '
+        f'{round(MAX_LIMIT_S * _MS_IN_S)}, not "{given}"',
+    )
+
+
 def _passed_on(request: http_messages.Request) -> http_messages.HeaderList:
     headers = http_messages.end_to_end(request.headers)
-    return [pair for pair in headers if pair[0] != 'authorization']
+    return [pair for pair in headers if pair[0] not in _OWN_HEADERS]
 
 
 def _model(request: http_messages.Request) -> str | None:
@@ -215,9 +237,13 @@
             type(failure).__name__,
             verdicts.Verdict.may_have_run,
         )
+    if responder.torn:
+        raise http_server.Disconnected('a part of the answer was sent in part')
     if not responder.started:
         await responder.respond(http_messages.error_response(error))
         return
     body = msgspec.json.encode(http_messages.envelope(error))
-    await responder.send(b''.join((b'data: ', body, b'\n\n')))
+    event = b''.join((b'data: ', body, b'\n\n'))
+    async with curio.ignore_after(REPORT_LIMIT_S):
+        await responder.send(event)
     raise http_server.Disconnected('a started answer can not be completed')
--- a/packages/entry/src/camphorstair/entry_state.py
+++ b/packages/entry/src/camphorstair/entry_state.py
@@ -20,7 +20,8 @@
     :ivar instruments: The metrics.
     :ivar generator: Source of random choices.
     :ivar table: The endpoints.
-    :ivar budget: The retries that may still be made.
+    :ivar budget: The retries that may still be made after refusals.
+    :ivar failure_budget: The retries that may still be made after failures.
     :ivar in_flight: Requests in progress by organisation.
     :ivar directory_serial: Number of the last directory answer.
     """
@@ -35,6 +36,9 @@
         factory=endpoints.EndpointTable,
     )
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
+    failure_budget: retries.RetryBudget = attrs.field(
+        factory=retries.RetryBudget,
+    )
     in_flight: dict[str, int] = attrs.field(factory=dict)
     directory_serial: int = 0
 
--- a/packages/entry/src/camphorstair/forwarding.py
+++ b/packages/entry/src/camphorstair/forwarding.py
@@ -3,6 +3,7 @@
 import logging
 
 import attrs
+import curio
 
 from camphorstair import attempts, entry_state
 from camphorstair_core import (
@@ -16,6 +17,8 @@
 from camphorstair_runtime import clocks
 
 RETRY_AFTER_S = 1.0
+WAIT_S = 0.25
+WAIT_LIMIT_S = 10.0
 _MS_IN_S = 1000
 
 _LOG = logging.getLogger(__name__)
@@ -31,6 +34,8 @@
     :ivar deadline_s: When the caller gives up, on the monotonic clock.
     :ivar tried: Names of endpoints that did not answer it.
     :ivar verdict: What is known of all attempts so far.
+    :ivar attempt_count: Attempts so far.
+    :ivar wait_deadline_s: Until when a broken answer waits for an endpoint.
     """
 
     entry: entry_state.Entry
@@ -39,63 +44,97 @@
     deadline_s: float
     tried: set[str] = attrs.field(factory=set)
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
+    attempt_count: int = 0
+    wait_deadline_s: float = 0
 
     async def run(self) -> None:
         """Attempt the request until it is answered.
 
         :raises errors.RequestError: if it is given up.
         """
-        retries.note_request(self.entry.budget)
+        in_flight = self.entry.requests_in_flight()
+        retries.note_request(self.entry.budget, in_flight)
+        retries.note_request(self.entry.failure_budget, in_flight)
         failure: errors.RequestError | None = None
-        for number in range(1, retries.MAX_ATTEMPTS + 1):
-            endpoint = self._choose(failure)
+        while True:
+            endpoint = await self._choose(failure)
             try:
-                await self._attempt(endpoint, number).run()
+                await self._run_attempt(self._attempt(endpoint))
             except errors.RequestError as error:
                 failure = error
             else:
                 return
             self._check_retry(endpoint, failure)
-        raise self._give_up(failure)
 
-    def _choose(
+    async def _run_attempt(self, attempt: attempts.Attempt) -> None:
+        """Run an attempt until the deadline at most."""
+        remaining_s = self.deadline_s - clocks.monotonic_s()
+        if remaining_s <= 0:
+            raise self._deadline_passed(verdicts.Verdict.not_run)
+        try:
+            await curio.timeout_after(remaining_s, attempt.run)
+        except curio.TaskTimeout as error:
+            raise self._deadline_passed(attempt.verdict()) from error
+
+    def _deadline_passed(
+        self,
+        verdict: verdicts.Verdict,
+    ) -> errors.RequestError:
+        return errors.RequestError(
+            errors.deadline_exceeded,
+            'the deadline has passed',
+            verdict,
+        )
+
+    async def _choose(
         self,
         failure: errors.RequestError | None,
     ) -> endpoints.Endpoint:
-        endpoint = endpoints.choose(
+        endpoint = self._pick()
+        while endpoint is None and self._may_wait():
+            await curio.sleep(WAIT_S)
+            self.tried.clear()
+            endpoint = self._pick()
+        if endpoint is None:
+            raise self._give_up(failure)
+        return endpoint
+
+    def _pick(self) -> endpoints.Endpoint | None:
+        return endpoints.choose(
             self.entry.table,
             self.start.service,
             self.tried,
             clocks.monotonic_s(),
             self.entry.generator,
         )
-        if endpoint is None:
-            raise self._give_up(failure)
-        return endpoint
 
-    def _attempt(
-        self,
-        endpoint: endpoints.Endpoint,
-        number: int,
-    ) -> attempts.Attempt:
+    def _may_wait(self) -> bool:
+        """Tell whether a broken answer may wait for an endpoint.
+
+        A request that no endpoint has begun gets its final answer at once.
+        """
+        begun = self.verdict is not verdicts.Verdict.not_run
+        now_s = clocks.monotonic_s()
+        if begun and not self.wait_deadline_s:
+            self.wait_deadline_s = min(now_s + WAIT_LIMIT_S, self.deadline_s)
+        return begun and now_s < self.wait_deadline_s
+
+    def _attempt(self, endpoint: endpoints.Endpoint) -> attempts.Attempt:
+        self.attempt_count += 1
         remaining_s = self.deadline_s - clocks.monotonic_s()
-        if remaining_s <= 0:
-            raise errors.RequestError(
-                errors.deadline_exceeded,
-                'the deadline has passed',
-                self.verdict,
-            )
+        after_event = self.answer.offset.last_event
+        headers = self.start.headers
+        if after_event:
+            self.entry.instruments.resumed_streams.add(1)
+            headers = [pair for pair in headers if pair[0] != 'last-event-id']
         start = attrs.evolve(
             self.start,
-            attempt=number,
-            remaining_ms=round(remaining_s * _MS_IN_S),
-            after_event=self.answer.last_event,
-        )
-        progress = answers.AnswerProgress(
-            start.request_id,
-            number,
-            last_event=start.after_event,
+            attempt=self.attempt_count,
+            headers=headers,
+            remaining_ms=max(0, round(remaining_s * _MS_IN_S)),
+            after_event=after_event,
         )
+        progress = answers.AnswerProgress(start.request_id, self.attempt_count)
         return attempts.Attempt(
             self.entry,
             endpoint,
@@ -120,13 +159,36 @@
                 'verdict': failure.verdict.value,
             },
         )
+        if not self._may_go_on(failure):
+            raise self._give_up(failure)
+        self.entry.instruments.retries.add(1)
+
+    def _may_go_on(self, failure: errors.RequestError) -> bool:
+        """Tell whether another attempt is allowed after a failure."""
+        if failure.code is errors.deadline_exceeded:
+            return False
+        if self.answer.streaming and not self.answer.offset.resumable:
+            return False
+        begun = self.verdict is not verdicts.Verdict.not_run
+        most = retries.MAX_RESUMES if begun else retries.MAX_ATTEMPTS
+        if self.attempt_count >= most:
+            return False
         allowed = verdicts.may_retry(
             failure.verdict,
             idempotent=self.start.idempotent,
         )
-        if not (allowed and retries.take(self.entry.budget)):
-            raise self._give_up(failure)
-        self.entry.instruments.retries.add(1)
+        return allowed and self._take_budget(failure, begun=begun)
+
+    def _take_budget(
+        self,
+        failure: errors.RequestError,
+        *,
+        begun: bool,
+    ) -> bool:
+        """Spend a retry; a begun answer's refusals are limited by its wait."""
+        if failure.verdict is not verdicts.Verdict.not_run:
+            return retries.take(self.entry.failure_budget)
+        return begun or retries.take(self.entry.budget)
 
     def _give_up(
         self,
@@ -139,6 +201,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         failure.verdict = self.verdict
-        if self.verdict is verdicts.Verdict.not_run:
+        not_run = self.verdict is verdicts.Verdict.not_run
+        if not_run or self.start.idempotent:
             failure.retry_after_s = failure.retry_after_s or RETRY_AFTER_S
         return failure
--- a/packages/entry/src/camphorstair/link_pool.py
+++ b/packages/entry/src/camphorstair/link_pool.py
@@ -1,5 +1,6 @@
 """Links to agents that wait for their next request."""
 
+import select
 import typing
 
 import attrs
@@ -26,9 +27,19 @@
 
         :raises links.LinkError: if the agent can't be reached.
         """
-        kept = self.idle.get(vm.name)
-        if kept:
-            return kept.pop()
+        kept = self.idle.get(vm.name, [])
+        while kept:
+            link = kept.pop()
+            if not _readable(link):
+                return link
+            await link.close()
+        return await self.connect(vm)
+
+    async def connect(self, vm: vms.Vm) -> links.Link:
+        """Return a new link to an agent.
+
+        :raises links.LinkError: if the agent can't be reached.
+        """
         host, port = settings.split_address(vm.peers_address)
         return await links.connect(host, port, self.context, CONNECT_LIMIT_S)
 
@@ -39,3 +50,10 @@
             kept.append(link)
             return
         await link.close()
+
+
+def _readable(link: links.Link) -> bool:
+    """Tell whether an idle link has ended or holds what nobody waits for."""
+    poll = select.poll()
+    poll.register(link.sock.fileno(), select.POLLIN)
+    return bool(link.received or poll.poll(0))
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -39,12 +39,14 @@
     :ivar protocol: The state of its HTTP connection.
     :ivar started: Whether the head of the answer was sent.
     :ivar closing: Whether the connection ends after this answer.
+    :ivar torn: Whether a part was sent only in part.
     """
 
     sock: curio.io.Socket
     protocol: h11.Connection
     started: bool = False
     closing: bool = False
+    torn: bool = False
 
     async def start(
         self,
@@ -85,10 +87,12 @@
                 return
 
     async def _send(self, event: h11.Event) -> None:
+        self.torn = True
         try:
             await self.sock.sendall(self.protocol.send(event) or b'')
         except OSError as error:
             raise Disconnected(str(error)) from error
+        self.torn = False
 
 
 @attrs.define
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -3,6 +3,8 @@
 A message is a length of four bytes, a kind of one byte and a MessagePack map.
 """
 
+import contextlib
+import socket
 import struct
 import types
 import typing
@@ -102,6 +104,11 @@
         except OSError:
             return
 
+    async def interrupt(self) -> None:
+        """End the connection, also for a task that waits to receive."""
+        with contextlib.suppress(OSError):
+            await self.sock.shutdown(socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
--- a/packages/runtime/src/camphorstair_runtime/metrics.py
+++ b/packages/runtime/src/camphorstair_runtime/metrics.py
@@ -16,6 +16,9 @@
     refusals: metrics_api.Counter
     retries: metrics_api.Counter
     dropped_parts: metrics_api.Counter
+    repeated_events: metrics_api.Counter
+    resumed_streams: metrics_api.Counter
+    silent_agents: metrics_api.Counter
 
 
 def set_up(node: str) -> Instruments:
@@ -34,6 +37,9 @@
         refusals=meter.create_counter('camphorstair_refusals'),
         retries=meter.create_counter('camphorstair_retries'),
         dropped_parts=meter.create_counter('camphorstair_dropped_parts'),
+        repeated_events=meter.create_counter('camphorstair_repeated_events'),
+        resumed_streams=meter.create_counter('camphorstair_resumed_streams'),
+        silent_agents=meter.create_counter('camphorstair_silent_agents'),
     )
 
 
--- a/packages/standins/src/camphorstair_standins/engine.py
+++ b/packages/standins/src/camphorstair_standins/engine.py
@@ -29,6 +29,8 @@
     :ivar cold_bearable: Requests in flight that it bears while cold.
     :ivar warm_bearable: Requests in flight that it bears when warm.
     :ivar warm_after: Whole answers after which it is warm.
+    :ivar repeated_events: Events before the offset that it sends again when
+        it goes on with a stream.
     """
 
     tokens: int = 20
@@ -36,6 +38,7 @@
     cold_bearable: int = 2
     warm_bearable: int = 8
     warm_after: int = 8
+    repeated_events: int = 0
 
 
 @attrs.define
@@ -115,7 +118,8 @@
         payload = msgspec.json.decode(request.body)
         headers = [('content-type', 'text/event-stream')]
         await responder.start(http.HTTPStatus.OK, headers)
-        for number in range(after_event, self.behaviour.tokens):
+        begin = max(0, after_event - self.behaviour.repeated_events)
+        for number in range(begin, self.behaviour.tokens):
             await curio.sleep(self.behaviour.token_interval_s)
             text = _word(request.body, number)
             chunk = _chunk(payload, f'{text} ', None)
--- /dev/null
+++ b/tests/test_event_offsets.py
@@ -0,0 +1,99 @@
+"""Event streams over several attempts, against the undisturbed stream."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from camphorstair_agent import event_stream
+from camphorstair_core import answers, errors, event_offsets, messages
+
+TOTAL = 12
+Attempt = tuple[int, list[int], bytes]
+ATTEMPTS = st.tuples(
+    st.integers(0, 4),
+    st.lists(st.integers(1, 60), min_size=1, max_size=8),
+    st.sampled_from([b'\n', b'\r\n']),
+)
+
+
+def _events(first: int, last: int, end: bytes = b'\n') -> bytes:
+    numbers = range(first, last + 1)
+    lines = [_event(number, end) for number in numbers]
+    return b''.join(lines)
+
+
+def _event(number: int, end: bytes) -> bytes:
+    return b'id: %d%bdata: text%b' % (number, end, end * 2)
+
+
+def _chunk(body: bytes) -> messages.ResponseChunk:
+    cutter = event_stream.EventCutter()
+    events = cutter.cut(body)
+    return messages.ResponseChunk(
+        'mine', 1, 1, cutter.last_event, events, cutter.first_event
+    )
+
+
+@given(st.lists(ATTEMPTS, max_size=6))
+def test_attempts_add_up_to_the_undisturbed_stream(
+    broken: list[Attempt],
+) -> None:
+    offset = event_offsets.EventOffset()
+    text = b''
+    broken.append((0, [10_000], b'\n'))
+    for repeated, sizes, end in broken:
+        resumed = offset.last_event > 0
+        first = max(0, offset.last_event - repeated) + 1
+        stream = _events(first, TOTAL, end)
+        cutter = event_stream.EventCutter()
+        for size in sizes:
+            body = cutter.cut(stream[:size])
+            stream = stream[size:]
+            chunk = messages.ResponseChunk(
+                'mine', 1, 1, cutter.last_event, body, cutter.first_event
+            )
+            text += event_offsets.take_events(offset, chunk, resumed=resumed)
+    assert text.replace(b'\r', b'') == _events(1, TOTAL)
+    assert offset.resumable
+
+
+def test_a_missing_event_is_an_error() -> None:
+    offset = event_offsets.EventOffset(last_event=3)
+    with pytest.raises(errors.RequestError, match='event 4 is missing'):
+        event_offsets.take_events(offset, _chunk(_events(5, 6)), resumed=True)
+
+
+def test_an_event_without_a_number_is_not_resumed() -> None:
+    offset = event_offsets.EventOffset()
+    body = b'data: text\n\n'
+    taken = event_offsets.take_events(offset, _chunk(body), resumed=False)
+    assert taken == body
+    assert not offset.resumable
+    offset = event_offsets.EventOffset(last_event=3)
+    with pytest.raises(errors.RequestError, match='bears no number'):
+        event_offsets.take_events(offset, _chunk(body), resumed=True)
+
+
+def test_comments_bear_no_number() -> None:
+    offset = event_offsets.EventOffset(last_event=3)
+    body = b''.join((b': still there\n\n', _events(4, 5)))
+    assert event_offsets.take_events(offset, _chunk(body), resumed=True)
+    assert offset.last_event == 5
+
+
+def test_the_rest_of_a_stream_is_not_lost() -> None:
+    cutter = event_stream.EventCutter()
+    assert not cutter.cut(b'data: half')
+    assert cutter.flush() == b'data: half'
+
+
+def test_crossed_heads_and_refusals_are_dropped() -> None:
+    progress = answers.AnswerProgress('mine', 2)
+    load = messages.LoadReport()
+    assert not answers.belongs(
+        progress, messages.ResponseHead('mine', 1, 200, [], load)
+    )
+    assert not answers.belongs(
+        progress, messages.RequestRefused('other', 'overloaded', '', 0, load)
+    )
+    assert progress.dropped == 2
