--- /dev/null
+++ b/measures/rebalance_cost.py
@@ -0,0 +1,48 @@
+"""Bytes, steps and planning time that keeping ranks even costs over a day.
+
+One layer is planned, at intervals of 30 s. A change is taken to cost one step
+at the boundary; weights load beside the steps.
+"""
+
+import numpy as np
+
+from measures import expert_day, expert_runs, reports, skew
+
+BYTES_TARGET = 0.1
+PLAN_TARGET_MS = 50
+GIB = 2**30
+
+
+def measure(seed: int) -> reports.Report:
+    """Measure the cost; the baseline is the full replan each interval.
+
+    :param seed: Seed of the popularity and of the counts.
+    """
+    report = reports.Report('rebalance_cost', seed, {})
+    for case in expert_day.CASES:
+        _add_case(report, case)
+    report.targets = [
+        reports.Target(f'bytes_ratio_{skew.TARGET_CASE}', at_most=BYTES_TARGET),
+        reports.Target(
+            f'plan_max_ms_{skew.TARGET_CASE}', at_most=PLAN_TARGET_MS
+        ),
+    ]
+    return report
+
+
+def _add_case(report: reports.Report, case: expert_day.Case) -> None:
+    runs = expert_runs.run(case, report.seed)
+    name = case.name()
+    for day, figures in (
+        (runs.planned, report.figures),
+        (runs.replanned, report.baseline),
+    ):
+        moved_bytes = day.moved * expert_runs.EXPERT_BYTES
+        figures[f'moved_gib_{name}'] = moved_bytes / GIB
+        figures[f'steps_lost_{name}'] = (
+            day.changes * expert_runs.STEPS_PER_CHANGE
+        )
+        figures[f'plan_mean_ms_{name}'] = float(np.mean(day.plan_ms))
+        figures[f'plan_max_ms_{name}'] = max(day.plan_ms)
+    ratio = runs.planned.moved / runs.replanned.moved
+    report.figures[f'bytes_ratio_{name}'] = ratio
--- a/measures/registry.py
+++ b/measures/registry.py
@@ -3,12 +3,14 @@
 import types
 from collections import abc
 
-from measures import reports, request_path
+from measures import rebalance_cost, reports, request_path, skew
 
 Measure = abc.Callable[[int], reports.Report]
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
         'request_path': request_path.measure,
+        'skew': skew.measure,
+        'rebalance_cost': rebalance_cost.measure,
     },
 )
--- /dev/null
+++ b/packages/core/src/camphorstair_core/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps of rank groups: planning a map and switching to it."""
