Estimate expert load with a Kalman filter for each expert

Cause: one weight for all experts either lags on the popular ones, whose counts are exact, or passes on the noise of the rare ones. Counts beyond four deviations of noise and drift restart an estimate.

--- a/measures/expert_day.py
+++ b/measures/expert_day.py
@@ -52,7 +52,8 @@
     :param seed: Seed of the random generator.
     """
     generator = np.random.default_rng(seed)
-    base = -case.exponent * np.log(np.arange(1, case.experts + 1))
+    places = np.arange(1, case.experts + 1)
+    base = -case.exponent * np.log(places)
     generator.shuffle(base)
     drift = generator.normal(0, DRIFT_DEVIATION, case.experts)
     times = np.arange(1, INTERVALS)
--- a/packages/core/src/camphorstair_core/experts/smoothing.py
+++ b/packages/core/src/camphorstair_core/experts/smoothing.py
@@ -1,34 +1,65 @@
-"""Smooths the noisy load of experts and follows sudden changes."""
+"""Estimates the load of experts from sampled token counts.
+
+A Kalman filter for each expert: what is counted has sampling noise, what is
+true drifts. A popular expert is counted well, so its estimate follows the last
+counts; a rare one is averaged over many intervals. Counts that neither noise
+nor drift explains start the estimate anew.
+"""
 
 import attrs
 
-WEIGHT = 0.2
+DRIFT_VARIANCE = 0.0009
+RESTART_DEVIATIONS = 4
+LEAST_COUNT = 1
 
 
 @attrs.define
 class SmoothedLoad:
-    """Smoothed load of the experts of one layer, as shares of the tokens.
+    """Estimated load of the experts of one layer, as shares of the tokens.
 
     :ivar shares: Share of the tokens of each expert; empty before the first.
+    :ivar variances: Variance of the error of each share.
     """
 
     shares: list[float] = attrs.field(factory=list)
+    variances: list[float] = attrs.field(factory=list)
 
 
 def note_counts(smoothed: SmoothedLoad, counts: list[int]) -> None:
     """Take over the token counts of one interval.
 
-    :param smoothed: The smoothed load.
+    :param smoothed: The estimate.
     :param counts: Tokens that went to each expert.
     """
     total = sum(counts)
     if not total:
         return
-    seen = [count / total for count in counts]
     if not smoothed.shares:
-        smoothed.shares = seen
+        smoothed.shares = [count / total for count in counts]
+        smoothed.variances = [_noise(share, total) for share in smoothed.shares]
+        return
+    for expert, count in enumerate(counts):
+        _note_count(smoothed, expert, count / total, total)
+
+
+def _noise(share: float, total: int) -> float:
+    return max(share, LEAST_COUNT / total) / total
+
+
+def _note_count(
+    smoothed: SmoothedLoad,
+    expert: int,
+    seen: float,
+    total: int,
+) -> None:
+    old = smoothed.shares[expert]
+    prior = smoothed.variances[expert] + DRIFT_VARIANCE * old**2
+    noise = _noise(max(old, seen), total)
+    surprise = (seen - old) ** 2
+    if surprise > RESTART_DEVIATIONS**2 * (prior + noise):
+        smoothed.shares[expert] = seen
+        smoothed.variances[expert] = noise
         return
-    smoothed.shares = [
-        old + WEIGHT * (new - old)
-        for old, new in zip(smoothed.shares, seen, strict=True)
-    ]
+    gain = prior / (prior + noise)
+    smoothed.shares[expert] = old + gain * (seen - old)
+    smoothed.variances[expert] = (1 - gain) * prior
