--- a/packages/core/src/camphorstair_core/experts/layouts.py
+++ b/packages/core/src/camphorstair_core/experts/layouts.py
@@ -11,6 +11,8 @@
 
 SWEEP_TOLERANCE = 0.002
 SWEEPS = 40
+RISK = 0.03
+FLOW_WEIGHT = 0.003
 
 
 @attrs.define
@@ -44,9 +46,16 @@
         """Return the load of the busiest rank, which is the skew."""
         return max(self.by_rank)
 
-    def excess(self) -> float:
-        """Return the sum of the squared loads above the mean."""
-        return sum((load - 1) ** 2 for load in self.by_rank if load > 1)
+    def unevenness(self) -> float:
+        """Return how uneven the ranks are, and how easily they become so.
+
+        Squared differences of the ranks from the mean, and squared flows: a
+        large flow into one rank shifts that rank alone when the popularity of
+        its expert changes.
+        """
+        uneven = sum((load - 1) ** 2 for load in self.by_rank)
+        risk = sum(part**2 for flow in self.flows for part in flow.values())
+        return uneven + RISK * risk
 
 
 def build(
@@ -108,10 +117,14 @@
     flow = layout.flows[expert]
     by_rank = layout.by_rank
     others = {rank: by_rank[rank] - part for rank, part in flow.items()}
-    height = _water_level(sorted(others.values()), layout.loads[expert])
+    weight = 1 + FLOW_WEIGHT
+    height = _water_level(
+        sorted(others.values()),
+        layout.loads[expert] * weight,
+    )
     largest: float = 0
     for rank, base in others.items():
-        part = max(height - base, 0)
+        part = max(height - base, 0) / weight
         largest = max(largest, abs(part - flow[rank]))
         flow[rank] = part
         by_rank[rank] = base + part
--- a/packages/core/src/camphorstair_core/experts/moves.py
+++ b/packages/core/src/camphorstair_core/experts/moves.py
@@ -1,40 +1,67 @@
 """Finds the move of one replica that levels the ranks most for its cost."""
 
+import heapq
 from collections import abc
 
+import attrs
+
 from camphorstair_core.experts import layouts, maps
 
-HOT_MARGIN = 0.98
 EXPERTS_TRIED = 2
-RANKS_TRIED = 3
-TRIAL_SWEEPS = 8
+RANKS_TRIED = 2
+TRIAL_SWEEPS = 2
+FOLLOWING_SWEEPS = 8
 
 SAME_VM_COST = 0.9
 SAME_DATA_CENTRE_COST = 0.95
 WEIGHT_STORE_COST = 1.0
 
 
+@attrs.define(frozen=True)
+class Improved:
+    """A layout after some moves.
+
+    :ivar layout: The layout.
+    :ivar loaded: Replicas that ranks have to load for it.
+    """
+
+    layout: layouts.Layout
+    loaded: int
+
+
 def improve(
     layout: layouts.Layout,
     topology: maps.Topology,
-) -> layouts.Layout | None:
-    """Return the layout after the best single move, or None.
+    least_gain: float,
+    budget: int,
+) -> Improved | None:
+    """Return the layout after the move that gains most for its cost.
+
+    One move, or two where a rank has to give away an expert first.
 
     :param layout: A levelled layout; it is not changed.
     :param topology: The ranks.
+    :param least_gain: Least fall of the unevenness for each move.
+    :param budget: Replicas that may be loaded.
+    :returns: The layout, or None if no move is worth its cost.
     """
     best = None
-    best_gain: float = 0
-    before = layout.excess()
-    for move in _candidates(layout):
+    best_gain = least_gain
+    before = layout.unevenness()
+    for found in _candidates(layout):
+        if len(found) > budget:
+            continue
         trial = layout.copy()
-        layouts.apply_move(trial, move)
+        cost: float = 0
+        for move in found:
+            cost += source_cost(trial, move, topology)
+            layouts.apply_move(trial, move)
         layouts.level(trial, TRIAL_SWEEPS)
-        cost = source_cost(layout, move, topology)
-        gain = (before - trial.excess()) / cost
+        gain = (before - trial.unevenness()) / cost
         if gain > best_gain:
-            best = trial
-            best_gain = gain
+            best, best_gain = Improved(trial, len(found)), gain
+    if best is not None:
+        layouts.level(best.layout, FOLLOWING_SWEEPS)
     return best
 
 
@@ -59,45 +86,77 @@
     return WEIGHT_STORE_COST
 
 
-def _candidates(layout: layouts.Layout) -> abc.Iterator[maps.Move]:
+def _candidates(layout: layouts.Layout) -> abc.Iterator[list[maps.Move]]:
     free = _free_slots(layout)
+    idlest = min(range(len(layout.held)), key=layout.by_rank.__getitem__)
     for expert in _hot_experts(layout):
-        targets = [rank for rank in free if rank not in layout.flows[expert]]
-        for rank in targets[:RANKS_TRIED]:
-            yield maps.Move(expert, rank, free[rank])
+        flow = layout.flows[expert]
+        targets = [rank for rank in free if rank not in flow]
+        tried = targets[:RANKS_TRIED]
+        if idlest in targets:
+            tried.append(idlest)
+        for rank in dict.fromkeys(tried):
+            yield [maps.Move(expert, rank, free[rank])]
+        if idlest not in free and idlest not in flow:
+            yield from _exchange(layout, expert, idlest, free)
+
+
+def _exchange(
+    layout: layouts.Layout,
+    expert: int,
+    rank: int,
+    free: dict[int, int | None],
+) -> abc.Iterator[list[maps.Move]]:
+    """Yield the two moves that free a slot of a rank without replicas."""
+    coldest = min(layout.held[rank], key=layout.loads.__getitem__)
+    for other, evicted in free.items():
+        if evicted not in {expert, coldest}:
+            yield [
+                maps.Move(coldest, other, evicted),
+                maps.Move(expert, rank, coldest),
+            ]
+            return
 
 
 def _hot_experts(layout: layouts.Layout) -> list[int]:
-    """Return the experts that load the busiest ranks most."""
-    limit = layout.peak() * HOT_MARGIN
-    amounts: dict[int, float] = {}
-    for rank, load in enumerate(layout.by_rank):
-        if load < limit:
-            continue
-        for expert in layout.held[rank]:
-            part = layout.flows[expert][rank]
-            amounts[expert] = amounts.get(expert, 0) + part
-    ordered = sorted(amounts, key=lambda one: (-amounts[one], one))
-    return ordered[:EXPERTS_TRIED]
+    """Return the experts of which one more replica may help most.
+
+    These load the busiest ranks most, or have the largest flows.
+    """
+    largest = heapq.nlargest(
+        EXPERTS_TRIED,
+        range(len(layout.flows)),
+        key=lambda one: max(layout.flows[one].values()),
+    )
+    busiest = max(range(len(layout.held)), key=layout.by_rank.__getitem__)
+    hottest = max(
+        layout.held[busiest],
+        key=lambda one: layout.flows[one][busiest],
+    )
+    return list(dict.fromkeys([hottest, *largest]))
 
 
 def _free_slots(layout: layouts.Layout) -> dict[int, int | None]:
     """Return ranks that can take a replica and what it displaces.
 
-    The least loaded come first; a rank at the mean or above is left out.
+    The least loaded come first, and among those the least displaced.
     """
     free: dict[int, int | None] = {}
-    order = sorted(range(len(layout.held)), key=layout.by_rank.__getitem__)
-    for rank in order:
-        if layout.by_rank[rank] >= 1:
-            break
-        if len(layout.held[rank]) < layout.capacity:
+    for rank, held in enumerate(layout.held):
+        if len(held) < layout.capacity:
             free[rank] = None
             continue
         evicted = _least_used(layout, rank)
         if evicted is not None:
             free[rank] = evicted
-    return free
+    return dict(sorted(free.items(), key=lambda row: _burden(layout, *row)))
+
+
+def _burden(layout: layouts.Layout, rank: int, evicted: int | None) -> float:
+    """Return what speaks against a rank: its load and what it gives up."""
+    if evicted is None:
+        return layout.by_rank[rank] - 1
+    return layout.by_rank[rank] + layout.flows[evicted][rank]
 
 
 def _least_used(layout: layouts.Layout, rank: int) -> int | None:
--- a/packages/core/src/camphorstair_core/experts/planner.py
+++ b/packages/core/src/camphorstair_core/experts/planner.py
@@ -15,8 +15,7 @@
 class Outcome(enum.StrEnum):
     """Why a plan changes the map or leaves it."""
 
-    kept_even = 'kept: the ranks are even enough'
-    kept_no_gain = 'kept: a change would gain too little'
+    kept = 'kept: a change would gain too little'
     shares = 'changed: shares only'
     moved = 'changed: replicas moved'
 
@@ -25,18 +24,14 @@
 class Policy:
     """When the planner acts.
 
-    :ivar act_above: Skew above which shares are changed.
     :ivar share_gain: Least gain in skew for a change of shares.
     :ivar move_above: Skew, with the best shares, above which replicas move.
-    :ivar move_until: Skew below which no further replica moves.
-    :ivar move_gain: Least gain in skew for each replica that moves.
+    :ivar move_gain: Least fall of the unevenness for a replica that moves.
     """
 
-    act_above: float = 1.02
     share_gain: float = 0.01
-    move_above: float = 1.03
-    move_until: float = 1.01
-    move_gain: float = 0.004
+    move_above: float = 1.015
+    move_gain: float = 0.003
 
 
 @attrs.define(frozen=True)
@@ -86,33 +81,45 @@
     """
     layout = layouts.build(current, loads, topology.slots_per_rank)
     before = layout.peak()
-    if before <= policy.act_above:
-        return Plan(current, Outcome.kept_even, before, before)
     layouts.level(layout)
     if layout.peak() > policy.move_above:
         layout = _move(layout, topology, limits, policy)
     return _finish(current, layout, before, limits, policy)
 
 
+def level_shares(
+    current: maps.ExpertMap,
+    loads: list[float],
+    topology: maps.Topology,
+    policy: Policy,
+) -> Plan:
+    """Plan a change of shares only, as while weights load for a larger one.
+
+    :param current: The map in force, or the one about to be.
+    :param loads: Smoothed load of each expert.
+    :param topology: The ranks.
+    :param policy: When to act.
+    """
+    nothing = Limits(0, 1)
+    return plan(current, loads, topology, nothing, policy)
+
+
 def _move(
     layout: layouts.Layout,
     topology: maps.Topology,
     limits: Limits,
     policy: Policy,
 ) -> layouts.Layout:
-    """Move replicas while each is worth its bytes, and keep the best state."""
+    """Move replicas while each is worth its bytes."""
     count = limits.budget_bytes // limits.expert_bytes
-    best = layout
-    best_cost = layout.peak()
-    for number in range(1, count + 1):
-        found = moves.improve(layout, topology)
-        if found is None or layout.peak() < policy.move_until:
+    while count > 0:
+        found = moves.improve(layout, topology, policy.move_gain, count)
+        if found is None:
             break
-        layout = found
-        cost = layout.peak() + policy.move_gain * number
-        if cost < best_cost:
-            best, best_cost = layout, cost
-    return best
+        layout = found.layout
+        count -= found.loaded
+    layouts.level(layout)
+    return layout
 
 
 def _finish(
@@ -123,9 +130,9 @@
     policy: Policy,
 ) -> Plan:
     after = layout.peak()
-    if before - after < policy.share_gain:
-        return Plan(current, Outcome.kept_no_gain, before, before)
     planned = layouts.to_map(layout)
     moved_bytes = len(maps.added(current, planned)) * limits.expert_bytes
+    if not moved_bytes and before - after < policy.share_gain:
+        return Plan(current, Outcome.kept, before, before)
     outcome = Outcome.moved if moved_bytes else Outcome.shares
     return Plan(planned, outcome, before, after, moved_bytes)
--- a/packages/core/src/camphorstair_core/experts/smoothing.py
+++ b/packages/core/src/camphorstair_core/experts/smoothing.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-DRIFT_VARIANCE = 0.0009
+DRIFT_VARIANCE = 0.0004
 RESTART_DEVIATIONS = 4
 LEAST_COUNT = 1
 
