--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -16,6 +16,7 @@
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 4194304
 READ_BYTES = 65536
+MAX_PIPELINED_BYTES = 65536
 REQUEST_LIMIT_S = 20.0
 IDLE_LIMIT_S = 75.0
 DRAIN_LIMIT_S = 2.0
@@ -80,12 +81,19 @@
         await self.finish()
 
     async def wait_disconnected(self) -> None:
-        """Return when the caller closes the connection."""
-        while True:
+        """Return when the caller closes the connection.
+
+        Pipelined requests are kept up to a bound; beyond it the connection
+        is not read, and its end shows when the answer is sent.
+        """
+        kept_bytes = 0
+        while kept_bytes < MAX_PIPELINED_BYTES:
             chunk = await self.sock.recv(READ_BYTES)
             self.protocol.receive_data(chunk)
             if not chunk:
                 return
+            kept_bytes += len(chunk)
+        await curio.Event().wait()
 
     async def _send(self, event: h11.Event) -> None:
         self.torn = True
@@ -101,6 +109,7 @@
     """State of a listener.
 
     :ivar handler: Answers one request.
+    :ivar request_limit_s: Time in which a request must come whole.
     :ivar closing: Whether answers say that their connection ends.
     :ivar ended: Whether no further request is read.
     :ivar idle: Sockets on which no part of a request has come.
@@ -109,6 +118,7 @@
     """
 
     handler: ResponderHandler
+    request_limit_s: float = REQUEST_LIMIT_S
     closing: bool = False
     ended: bool = False
     idle: set[curio.io.Socket] = attrs.field(factory=set)
@@ -201,7 +211,7 @@
     async def _serve_request(self, responder: Responder) -> None:
         try:
             request = await curio.timeout_after(
-                REQUEST_LIMIT_S,
+                self.request_limit_s,
                 _read_request,
                 responder,
             )
@@ -210,7 +220,7 @@
                 responder,
                 errors.RequestError(
                     errors.timeout,
-                    f'the request did not come whole in {REQUEST_LIMIT_S} s',
+                    f'the request did not come whole in {self.request_limit_s} s',
                 ),
             )
             return
@@ -227,6 +237,7 @@
     head = await next_event(responder.sock, responder.protocol)
     if not isinstance(head, h11.Request):
         raise Disconnected('no request')
+    _check_head(head)
     if responder.protocol.they_are_waiting_for_100_continue:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await responder.sock.sendall(responder.protocol.send(go_on) or b'')
@@ -238,6 +249,14 @@
     )
 
 
+def _check_head(head: h11.Request) -> None:
+    """Refuse a head that is too long, also one that came in one read."""
+    lengths = (len(name) + len(value) for name, value in head.headers)
+    if len(head.target) + sum(lengths) > MAX_HEAD_BYTES:
+        message = f'the head is longer than {MAX_HEAD_BYTES} bytes'
+        raise errors.RequestError(errors.head_too_large, message)
+
+
 async def _read_body(responder: Responder) -> bytes:
     body = bytearray()
     event = await next_event(responder.sock, responder.protocol)
