Test TLS between processes

Cause: mutual TLS was built but nothing showed that it refuses anyone. Ruled out: checking names in peers' certificates, since VMs are replaced daily and addresses change; the authority's signature is the proof. Change: tests that a peer without a certificate, a plain one and one of another authority are refused in both directions. Conclusion: kept; a run of whole processes with TLS is still to come.

--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,97 @@
+"""TLS towards callers, and mutual TLS between processes."""
+
+import pathlib
+import ssl
+
+import certificates
+import curio
+import pytest
+
+from camphorstair_core import messages, vms
+from camphorstair_runtime import links, node, peers, security, settings
+
+LIMIT_S = 2.0
+
+
+def _settings(directory: pathlib.Path, name: str) -> settings.Security:
+    return settings.Security(
+        certificate=str(directory / f'{name}.pem'),
+        private_key=str(directory / f'{name}-key.pem'),
+        authority=str(directory / f'{name}-authority.pem'),
+    )
+
+
+@pytest.fixture
+def fleet_security(tmp_path: pathlib.Path) -> settings.Security:
+    """Return the TLS settings of the fleet's processes."""
+    certificates.write(tmp_path, 'fleet')
+    return _settings(tmp_path, 'fleet')
+
+
+@pytest.fixture
+def stranger_security(tmp_path: pathlib.Path) -> settings.Security:
+    """Return TLS settings signed by another authority."""
+    certificates.write(tmp_path, 'stranger')
+    return _settings(tmp_path, 'stranger')
+
+
+async def _hello(
+    server: settings.Security,
+    context: ssl.SSLContext | None,
+) -> object:
+    identity = settings.Node('a', 'r', 'd')
+    peer_server = peers.PeerServer(node.NodeState(identity, vms.VmRole.entry))
+    listener = curio.tcp_server_socket('127.0.0.1', 0)
+    port = listener.getsockname()[1]
+    task = await curio.spawn(
+        curio.network.run_server(
+            listener,
+            peer_server.serve,
+            security.peers_context(server),
+        ),
+    )
+    try:
+        hello = messages.Hello('b', 'd', 0)
+        return await peers.call(('127.0.0.1', port), context, hello, LIMIT_S)
+    finally:
+        await task.cancel()
+
+
+def test_processes_of_the_fleet_talk(fleet_security: settings.Security) -> None:
+    context = security.client_context(fleet_security)
+    reply = curio.run(_hello, fleet_security, context)
+    assert isinstance(reply, messages.Hello)
+
+
+def test_a_peer_without_certificate_is_refused(
+    fleet_security: settings.Security,
+) -> None:
+    context = ssl.create_default_context(cafile=fleet_security.authority)
+    context.check_hostname = False
+    with pytest.raises(links.LinkError):
+        curio.run(_hello, fleet_security, context)
+
+
+def test_a_plain_peer_is_refused(fleet_security: settings.Security) -> None:
+    with pytest.raises(links.LinkError):
+        curio.run(_hello, fleet_security, None)
+
+
+def test_a_peer_of_another_authority_is_refused(
+    fleet_security: settings.Security,
+    stranger_security: settings.Security,
+) -> None:
+    stranger = security.client_context(stranger_security)
+    assert stranger is not None
+    stranger.verify_mode = ssl.CERT_NONE
+    with pytest.raises(links.LinkError):
+        curio.run(_hello, fleet_security, stranger)
+
+
+def test_a_server_of_another_authority_is_refused(
+    fleet_security: settings.Security,
+    stranger_security: settings.Security,
+) -> None:
+    context = security.client_context(fleet_security)
+    with pytest.raises(links.LinkError):
+        curio.run(_hello, stranger_security, context)
