Run requests with an idempotency key at most once

A booking could run twice: a caller whose answer was lost repeated it through another entry, and nothing knew the key. A record per request in the platform was ruled out: it takes a write for each request, and bookings would stop with its outages. The slots of a service's keys are claimed by agents with an epoch; the owner keeps the keys in memory, and answers what it can't know with "may have run".

--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -5,8 +5,8 @@
 import attrs
 import curio
 
-from camphorstair_agent import event_stream
-from camphorstair_core import admission, messages, verdicts
+from camphorstair_agent import event_stream, keyed
+from camphorstair_core import admission, keys, messages, verdicts
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -28,12 +28,14 @@
     :ivar address: ``IP:port`` of the endpoint.
     :ivar gate: The admission.
     :ivar instruments: The metrics.
+    :ivar keyed: Runs the requests that have to run at most once by their key.
     """
 
     state: node.NodeState
     address: str
     gate: admission.Admission
     instruments: metrics.Instruments
+    keyed: keyed.KeyedRelay
 
     async def run(
         self,
@@ -42,6 +44,9 @@
     ) -> None:
         """Admit or refuse a request, and run it."""
         self.instruments.requests.add(1)
+        if keys.keyed(start):
+            await self.keyed.run(link, start)
+            return
         code = admission.refusal(self.gate)
         if code is not None:
             self.instruments.refusals.add(1)
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -4,12 +4,13 @@
 import pathlib
 import random
 import sys
+import uuid
 
 import attrs
 import curio
 
-from camphorstair_agent import relay
-from camphorstair_core import admission, vms
+from camphorstair_agent import claiming, keyed, relay
+from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
     following,
     logs,
@@ -65,11 +66,15 @@
     """Serve until a termination signal, then finish what runs."""
     terminated = signals.watch()
     checked = agent.checked
-    runner = relay.Relay(
+    runner = _relay(agent)
+    client = platform.PlatformClient(checked.platform.key_value)
+    generator = random.Random(checked.node.name)
+    claimer = claiming.Claimer(
         agent.state,
-        checked.endpoint.address,
-        agent.gate,
-        metrics.set_up(checked.node.name),
+        client,
+        runner.keyed.claims,
+        runner.keyed.table,
+        generator,
     )
     server = peers.PeerServer(
         agent.state,
@@ -78,10 +83,10 @@
     )
     follower = following.Follower(
         agent.state,
-        platform.PlatformClient(checked.platform.key_value),
+        client,
         checked.platform.vm_list,
         agent.refresh,
-        random.Random(checked.node.name),
+        generator,
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
@@ -92,18 +97,39 @@
             ),
         )
         await group.spawn(follower.run)
+        await group.spawn(claimer.run)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
-        await _drain(agent)
+        await _drain(agent, claimer)
         await group.cancel_remaining()
 
 
-async def _drain(agent: Agent) -> None:
+def _relay(agent: Agent) -> relay.Relay:
+    checked = agent.checked
+    instruments = metrics.set_up(checked.node.name)
+    claims = ownership.Claims(
+        checked.endpoint.service,
+        checked.node.name,
+        checked.listen.peers,
+        uuid.uuid4().hex,
+    )
+    address = checked.endpoint.address
+    return relay.Relay(
+        agent.state,
+        address,
+        agent.gate,
+        instruments,
+        keyed.KeyedRelay(address, agent.gate, instruments, claims),
+    )
+
+
+async def _drain(agent: Agent, claimer: claiming.Claimer) -> None:
     agent.state.leaving = True
     agent.gate.leaving = True
     limit_s = agent.checked.shutdown.limit_s
     _LOG.info('shutting down', extra={'in_flight': agent.gate.in_flight})
     async with curio.ignore_after(limit_s):
+        await claimer.synchronise()
         while agent.gate.in_flight:
             await curio.sleep(DRAIN_INTERVAL_S)
     if agent.gate.in_flight:
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorstair_core import messages, rules, vms
+from camphorstair_core import errors, keys, messages, rules, vms
 
 EJECTION_S = 5.0
 LOAD_AGE_LIMIT_S = 2.0
@@ -112,6 +112,33 @@
     return min(picked, key=lambda row: row.pressure(now_s))
 
 
+def choose_owner(
+    table: EndpointTable,
+    start: messages.RequestStart,
+    failure: errors.RequestError | None,
+    tried: set[str],
+) -> Endpoint | None:
+    """Choose the endpoint that owns the key of a request.
+
+    :param table: The table.
+    :param start: The request.
+    :param failure: The failure of the last attempt; it may name the owner.
+    :param tried: Names of endpoints that did not answer the request.
+    :returns: The owner, or None if it is unknown or said no.
+    """
+    name = failure.owner if failure else ''
+    if failure is None:
+        key = keys.keyed_request(start).digest
+        names = [
+            row.vm.name
+            for row in table.of_service(start.service)
+            if not (row.leaving or row.out)
+        ]
+        slot = keys.slot_of(key)
+        name = keys.preferred_owner(start.service, slot, names)
+    return None if name in tried else table.rows.get(name)
+
+
 def note_load(
     endpoint: Endpoint,
     load: messages.LoadReport,
--- a/packages/core/src/camphorstair_core/errors.py
+++ b/packages/core/src/camphorstair_core/errors.py
@@ -46,6 +46,8 @@
     'deadline_exceeded',
     http.HTTPStatus.GATEWAY_TIMEOUT,
 )
+not_owner = ErrorCode('not_owner', http.HTTPStatus.SERVICE_UNAVAILABLE)
+key_reused = ErrorCode('key_reused', http.HTTPStatus.UNPROCESSABLE_ENTITY)
 may_have_run = ErrorCode('may_have_run', http.HTTPStatus.BAD_GATEWAY)
 internal_error = ErrorCode(
     'internal_error',
@@ -61,12 +63,17 @@
     :ivar message: What is wrong, naming the offending value.
     :ivar verdict: Whether the request may have run.
     :ivar retry_after_s: When trying again helps, the wait before it.
+    :ivar key_unknown: Whether nothing was learnt of earlier requests with the
+        same idempotency key.
+    :ivar owner: The endpoint that owns the key, if another one named it.
     """
 
     code: ErrorCode
     message: str
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
     retry_after_s: float | None = None
+    key_unknown: bool = False
+    owner: str = ''
 
     def __str__(self) -> str:
         """Return the code and the message."""
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -104,7 +104,10 @@
 
 @attrs.define
 class RequestRefused:
-    """The agent's refusal; nothing reached the endpoint."""
+    """The agent's refusal; nothing reached the endpoint.
+
+    :ivar owner: The endpoint that owns the request's key, if it is another.
+    """
 
     request_id: str
     code: str
@@ -112,6 +115,7 @@
     retry_after_ms: int
     load: LoadReport
     revision: int = 0
+    owner: str = ''
 
 
 @attrs.define
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -1,10 +1,19 @@
 """One attempt at a request, on one endpoint."""
 
+import types
+
 import attrs
 import curio
 
 from camphorstair import entry_state
-from camphorstair_core import answers, endpoints, errors, messages, verdicts
+from camphorstair_core import (
+    answers,
+    endpoints,
+    errors,
+    keys,
+    messages,
+    verdicts,
+)
 from camphorstair_runtime import (
     clocks,
     http_messages,
@@ -15,6 +24,18 @@
 HELLO_LIMIT_S = 1.0
 _EVENT_STREAM = 'text/event-stream'
 _MS_IN_S = 1000
+_REFUSALS = types.MappingProxyType(
+    {
+        'leaving': errors.leaving,
+        errors.not_owner.name: errors.not_owner,
+    },
+)
+_KEY_ERRORS = types.MappingProxyType(
+    {
+        errors.may_have_run.name: errors.may_have_run,
+        errors.key_reused.name: errors.key_reused,
+    },
+)
 
 
 @attrs.define
@@ -74,18 +95,36 @@
 
     async def _open(self) -> links.Link:
         try:
-            link = await self.entry.pool.take(self.endpoint.vm)
-            if not self.start.idempotent:
-                await self._check_alive(link)
+            return await self._take()
         except (links.LinkError, curio.TaskTimeout) as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
+            if keys.keyed(self.start):
+                return await self._take_again()
             raise self._failed(
                 errors.endpoint_failed,
                 str(error),
                 verdicts.Verdict.not_run,
             ) from error
+
+    async def _take(self) -> links.Link:
+        link = await self.entry.pool.take(self.endpoint.vm)
+        if not self.start.idempotent:
+            await self._check_alive(link)
         return link
 
+    async def _take_again(self) -> links.Link:
+        """Open a new link to the owner of a key; no other may answer."""
+        try:
+            return await self._take()
+        except (links.LinkError, curio.TaskTimeout) as error:
+            failure = self._failed(
+                errors.endpoint_failed,
+                str(error),
+                verdicts.Verdict.not_run,
+            )
+            failure.key_unknown = True
+            raise failure from error
+
     async def _check_alive(self, link: links.Link) -> None:
         hello = self.entry.state.hello()
         await curio.timeout_after(HELLO_LIMIT_S, link.call, hello)
@@ -168,20 +207,22 @@
 
     def _refused(self, refused: messages.RequestRefused) -> errors.RequestError:
         self._note_load(refused.load)
-        code = (
-            errors.leaving if refused.code == 'leaving' else errors.overloaded
-        )
         return errors.RequestError(
-            code,
+            _REFUSALS.get(refused.code, errors.overloaded),
             refused.message,
             verdicts.Verdict.not_run,
             refused.retry_after_ms / _MS_IN_S,
+            key_unknown=refused.code == errors.not_owner.name,
+            owner=refused.owner,
         )
 
     def _endpoint_failed(
         self,
         failed: messages.ResponseFailed,
     ) -> errors.RequestError:
+        code = _KEY_ERRORS.get(failed.code)
+        if code is not None:
+            return errors.RequestError(code, failed.message, failed.verdict)
         code = errors.endpoint_failed
         if failed.code == errors.deadline_exceeded.name:
             code = errors.deadline_exceeded
--- a/packages/entry/src/camphorstair/forwarding.py
+++ b/packages/entry/src/camphorstair/forwarding.py
@@ -9,6 +9,7 @@
     answers,
     endpoints,
     errors,
+    keys,
     messages,
     retries,
     verdicts,
@@ -62,13 +63,21 @@
         self,
         failure: errors.RequestError | None,
     ) -> endpoints.Endpoint:
-        endpoint = endpoints.choose(
-            self.entry.table,
-            self.start.service,
-            self.tried,
-            clocks.monotonic_s(),
-            self.entry.generator,
-        )
+        if keys.keyed(self.start):
+            endpoint = endpoints.choose_owner(
+                self.entry.table,
+                self.start,
+                failure,
+                self.tried,
+            )
+        else:
+            endpoint = endpoints.choose(
+                self.entry.table,
+                self.start.service,
+                self.tried,
+                clocks.monotonic_s(),
+                self.entry.generator,
+            )
         if endpoint is None:
             raise self._give_up(failure)
         return endpoint
@@ -133,12 +142,16 @@
         failure: errors.RequestError | None,
     ) -> errors.RequestError:
         if failure is None:
-            return errors.RequestError(
+            failure = errors.RequestError(
                 errors.no_endpoint,
                 f'no endpoint of service {self.start.service} takes requests',
                 retry_after_s=RETRY_AFTER_S,
+                key_unknown=True,
             )
         failure.verdict = self.verdict
+        if keys.keyed(self.start) and failure.key_unknown:
+            failure.verdict = verdicts.Verdict.may_have_run
+            failure.retry_after_s = RETRY_AFTER_S
         if self.verdict is verdicts.Verdict.not_run:
             failure.retry_after_s = failure.retry_after_s or RETRY_AFTER_S
         return failure
--- a/packages/runtime/src/camphorstair_runtime/clocks.py
+++ b/packages/runtime/src/camphorstair_runtime/clocks.py
@@ -2,6 +2,8 @@
 
 import time
 
+from camphorstair_core import ownership
+
 
 def monotonic_s() -> float:
     """Return the seconds of a clock that never goes back."""
@@ -11,3 +13,8 @@
 def epoch_s() -> float:
     """Return the seconds since the epoch."""
     return time.time()
+
+
+def moment() -> ownership.Moment:
+    """Return the time on both clocks."""
+    return ownership.Moment(epoch_s(), monotonic_s())
--- a/packages/runtime/src/camphorstair_runtime/metrics.py
+++ b/packages/runtime/src/camphorstair_runtime/metrics.py
@@ -16,6 +16,7 @@
     refusals: metrics_api.Counter
     retries: metrics_api.Counter
     dropped_parts: metrics_api.Counter
+    keyed: metrics_api.Counter
 
 
 def set_up(node: str) -> Instruments:
@@ -34,6 +35,7 @@
         refusals=meter.create_counter('camphorstair_refusals'),
         retries=meter.create_counter('camphorstair_retries'),
         dropped_parts=meter.create_counter('camphorstair_dropped_parts'),
+        keyed=meter.create_counter('camphorstair_keyed_requests'),
     )
 
 
--- a/packages/standins/src/camphorstair_standins/plain.py
+++ b/packages/standins/src/camphorstair_standins/plain.py
@@ -28,9 +28,11 @@
     """State of the service.
 
     :ivar runs: How often each request ran, by its identifier.
+    :ivar bookings: How often each booking ran, by its idempotency key.
     """
 
     runs: dict[str, int] = attrs.field(factory=dict)
+    bookings: dict[str, int] = attrs.field(factory=dict)
 
     async def handle(
         self,
@@ -39,15 +41,27 @@
     ) -> None:
         """Book on POST; return the runs on GET."""
         payload: object = self.runs
+        if request.path == '/bookings/keys':
+            payload = self.bookings
         if request.method == 'POST':
             identifier = request.header('x-request-id')
             self.runs[identifier] = self.runs.get(identifier, 0) + 1
-            await curio.sleep(BOOKING_S)
+            self._count_booking(request)
+            await curio.sleep(_duration_s(request))
             payload = Booked(len(self.runs), identifier)
         await responder.respond(
             http_messages.json_response(http.HTTPStatus.OK, payload),
         )
 
+    def _count_booking(self, request: http_messages.Request) -> None:
+        key = request.header('idempotency-key')
+        self.bookings[key] = self.bookings.get(key, 0) + 1
+
+
+def _duration_s(request: http_messages.Request) -> float:
+    """Return how long a booking takes; a caller may ask for a time."""
+    return float(request.header('x-booking-s') or BOOKING_S)
+
 
 if __name__ == '__main__':
     serving.run(sys.argv[1], PlainService().handle)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import typing
+import uuid
 
 from camphorstair_standins import fleet, loopback, sites
 
@@ -59,7 +60,7 @@
 
 def book(running: fleet.Fleet, address: str) -> int:
     """Make a booking and return its number."""
-    headers = {**authorization(running), 'idempotency-key': 'demo-1'}
+    headers = {**authorization(running), 'idempotency-key': str(uuid.uuid4())}
     answer = loopback.http_call(address, '/bookings', b'{"yard":4}', headers)
     return int(answer.json()['booking'])
 
