Check the at-most-once protocol with a model checker

The specification has every step of the slot map: claims, releases, lost answers and lost writes, restarts and pauses.

--- /dev/null
+++ b/tests/test_spec_at_most_once.py
@@ -0,0 +1,35 @@
+"""The at-most-once protocol holds, and every mutant of it is found out."""
+
+import minicheck
+import pytest
+
+from specs import at_most_once
+
+MAX_STATES = 200_000
+MUTANT_STATES = 10_000
+MUTANTS = tuple(at_most_once.Mutant)[1:]
+
+
+def test_no_key_runs_twice() -> None:
+    found = minicheck.check_safety(at_most_once.build(), MAX_STATES)
+    assert found['properties']['at_most_once']['holds'] is True
+
+
+@pytest.mark.parametrize('mutant', MUTANTS)
+def test_a_mutant_is_found(mutant: at_most_once.Mutant) -> None:
+    found = minicheck.check_safety(at_most_once.build(mutant), MUTANT_STATES)
+    assert found['properties']['at_most_once']['holds'] is False
+
+
+def test_a_first_attempt_is_served_after_a_crash() -> None:
+    protocol = at_most_once.build()
+    protocol.invariants = {
+        'never_served': lambda state: not _served_after_crash(state['world']),
+    }
+    found = minicheck.check_safety(protocol, MUTANT_STATES)
+    assert found['properties']['never_served']['holds'] is False
+
+
+def _served_after_crash(world: at_most_once.World) -> bool:
+    owner = world.agents[world.slot.owner]
+    return world.runs == 1 and owner.knows and not world.slot.complete
