--- a/measures/at_most_once.py
+++ b/measures/at_most_once.py
@@ -205,8 +205,8 @@
         world.available = list(NAMES)
     for table in world.tables:
         if not world.fault():
-            for name, row in table.rows.items():
-                row.leaving = name not in world.available
+            for row in table.rows.values():
+                row.leaving = row.vm.name not in world.available
     if world.generator.random() < SETTLE_SHARE:
         _settle(world)
     while world.late and world.fault(0.5):
--- a/measures/registry.py
+++ b/measures/registry.py
@@ -3,7 +3,13 @@
 import types
 from collections import abc
 
-from measures import at_most_once, reports, request_path
+from measures import (
+    at_most_once,
+    rebalance_cost,
+    reports,
+    request_path,
+    skew,
+)
 
 Measure = abc.Callable[[int], reports.Report]
 
@@ -11,5 +17,7 @@
     {
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
+        'skew': skew.measure,
+        'rebalance_cost': rebalance_cost.measure,
     },
 )
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -11,6 +11,7 @@
 from camphorstair_agent import claiming, keyed, relay
 from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
+    announcing,
     following,
     logs,
     metrics,
@@ -19,11 +20,10 @@
     platform,
     security,
     settings,
+    shutdown,
     signals,
 )
 
-DRAIN_INTERVAL_S = 0.05
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -97,9 +97,10 @@
         )
         await group.spawn(follower.run)
         await group.spawn(claimer.run)
+        await group.spawn(_announce_presence, agent)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
-        await _drain(agent, claimer)
+        await _drain(agent, server, claimer)
         await group.cancel_remaining()
 
 
@@ -122,21 +123,35 @@
     )
 
 
-async def _drain(agent: Agent, claimer: claiming.Claimer) -> None:
+async def _announce_presence(agent: Agent) -> None:
+    await announcing.announce_presence(agent.state)
+    await curio.Event().wait()
+
+
+async def _drain(
+    agent: Agent,
+    server: peers.PeerServer,
+    claimer: claiming.Claimer,
+) -> None:
+    """Refuse new requests, finish what runs, then end the links.
+
+    Entries that heard of it send nothing more; what is still on its way is
+    refused, and what arrives at the end of a link is answered as not run.
+    Runs by key go on when their entry is gone, so they count as well.
+    """
     agent.state.leaving = True
     agent.gate.leaving = True
     limit_s = agent.checked.shutdown.limit_s
-    _LOG.info('shutting down', extra={'in_flight': agent.gate.in_flight})
+    _LOG.info('shutting down', extra={'in_flight': server.running})
     async with curio.ignore_after(limit_s):
         await claimer.synchronise()
-        while agent.gate.in_flight:
-            await curio.sleep(DRAIN_INTERVAL_S)
-    if agent.gate.in_flight:
-        _LOG.error(
-            'shutdown limit of %s s reached',
-            limit_s,
-            extra={'in_flight': agent.gate.in_flight},
-        )
+        await announcing.announce_leaving(agent.state, limit_s)
+    await shutdown.wait_idle(
+        lambda: max(server.running, agent.gate.in_flight),
+        limit_s,
+    )
+    server.end_idle()
+    await shutdown.wait_closed(server.idle_links)
     _LOG.info('stopped')
 
 
@@ -145,3 +160,4 @@
     checked = settings.load(pathlib.Path(path), settings.AgentSettings)
     logs.set_up(checked.node.name, checked.logging.level)
     curio.run(run, build(checked))
+    signals.ignore()
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -3,6 +3,8 @@
 A message is a length of four bytes, a kind of one byte and a MessagePack map.
 """
 
+import contextlib
+import socket
 import struct
 import types
 import typing
@@ -88,9 +90,15 @@
             raise LinkError(f'receive: {error}') from error
 
     async def call(self, message: object) -> object:
-        """Send a message and return the answer."""
+        """Send a message and return the answer.
+
+        :raises LinkError: if the connection breaks, or the other side ends it.
+        """
         await self.send(message)
-        return await self.receive()
+        reply = await self.receive()
+        if isinstance(reply, messages.RequestRefused):
+            raise LinkError(reply.message)
+        return reply
 
     async def wait_closed(self) -> None:
         """Return when the other side closes the connection.
@@ -102,6 +110,11 @@
         except OSError:
             return
 
+    async def interrupt(self) -> None:
+        """End the connection, also for a task that waits to receive."""
+        with contextlib.suppress(OSError):
+            await self.sock.shutdown(socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
--- a/packages/standins/src/camphorstair_standins/plain.py
+++ b/packages/standins/src/camphorstair_standins/plain.py
@@ -1,6 +1,6 @@
 """Stand-in for a plain service that books yards.
 
-``python -m camphorstair_standins.plain IP:port``
+``python -m camphorstair_standins.plain IP:port [SECONDS a booking takes]``
 """
 
 import http
@@ -29,10 +29,12 @@
 
     :ivar runs: How often each request ran, by its identifier.
     :ivar bookings: How often each booking ran, by its idempotency key.
+    :ivar booking_s: Time that a booking takes unless its caller says.
     """
 
     runs: dict[str, int] = attrs.field(factory=dict)
     bookings: dict[str, int] = attrs.field(factory=dict)
+    booking_s: float = BOOKING_S
 
     async def handle(
         self,
@@ -47,7 +49,8 @@
             identifier = request.header('x-request-id')
             self.runs[identifier] = self.runs.get(identifier, 0) + 1
             self._count_booking(request)
-            await curio.sleep(_duration_s(request))
+            asked = request.header('x-booking-s')
+            await curio.sleep(float(asked or self.booking_s))
             payload = Booked(len(self.runs), identifier)
         await responder.respond(
             http_messages.json_response(http.HTTPStatus.OK, payload),
@@ -58,10 +61,6 @@
         self.bookings[key] = self.bookings.get(key, 0) + 1
 
 
-def _duration_s(request: http_messages.Request) -> float:
-    """Return how long a booking takes; a caller may ask for a time."""
-    return float(request.header('x-booking-s') or BOOKING_S)
-
-
 if __name__ == '__main__':
-    serving.run(sys.argv[1], PlainService().handle)
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else BOOKING_S
+    serving.run(sys.argv[1], PlainService(booking_s=seconds).handle)
