--- a/packages/entry/src/camphorstair/forwarding.py
+++ b/packages/entry/src/camphorstair/forwarding.py
@@ -10,6 +10,7 @@
     answers,
     endpoints,
     errors,
+    keys,
     messages,
     retries,
     verdicts,
@@ -84,12 +85,15 @@
             errors.deadline_exceeded,
             'the deadline has passed',
             verdict,
+            key_unknown=True,
         )
 
     async def _choose(
         self,
         failure: errors.RequestError | None,
     ) -> endpoints.Endpoint:
+        if keys.keyed(self.start):
+            return self._choose_owner(failure)
         endpoint = self._pick()
         while endpoint is None and self._may_wait():
             await curio.sleep(WAIT_S)
@@ -99,6 +103,20 @@
             raise self._give_up(failure)
         return endpoint
 
+    def _choose_owner(
+        self,
+        failure: errors.RequestError | None,
+    ) -> endpoints.Endpoint:
+        endpoint = endpoints.choose_owner(
+            self.entry.table,
+            self.start,
+            failure,
+            self.tried,
+        )
+        if endpoint is None:
+            raise self._give_up(failure)
+        return endpoint
+
     def _pick(self) -> endpoints.Endpoint | None:
         return endpoints.choose(
             self.entry.table,
@@ -195,12 +213,16 @@
         failure: errors.RequestError | None,
     ) -> errors.RequestError:
         if failure is None:
-            return errors.RequestError(
+            failure = errors.RequestError(
                 errors.no_endpoint,
                 f'no endpoint of service {self.start.service} takes requests',
                 retry_after_s=RETRY_AFTER_S,
+                key_unknown=True,
             )
         failure.verdict = self.verdict
+        if keys.keyed(self.start) and failure.key_unknown:
+            failure.verdict = verdicts.Verdict.may_have_run
+            failure.retry_after_s = RETRY_AFTER_S
         not_run = self.verdict is verdicts.Verdict.not_run
         if not_run or self.start.idempotent:
             failure.retry_after_s = failure.retry_after_s or RETRY_AFTER_S
--- a/packages/runtime/src/camphorstair_runtime/metrics.py
+++ b/packages/runtime/src/camphorstair_runtime/metrics.py
@@ -16,6 +16,7 @@
     refusals: metrics_api.Counter
     retries: metrics_api.Counter
     dropped_parts: metrics_api.Counter
+    keyed: metrics_api.Counter
     repeated_events: metrics_api.Counter
     resumed_streams: metrics_api.Counter
     silent_agents: metrics_api.Counter
@@ -37,6 +38,7 @@
         refusals=meter.create_counter('camphorstair_refusals'),
         retries=meter.create_counter('camphorstair_retries'),
         dropped_parts=meter.create_counter('camphorstair_dropped_parts'),
+        keyed=meter.create_counter('camphorstair_keyed_requests'),
         repeated_events=meter.create_counter('camphorstair_repeated_events'),
         resumed_streams=meter.create_counter('camphorstair_resumed_streams'),
         silent_agents=meter.create_counter('camphorstair_silent_agents'),
