--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -8,9 +8,10 @@
 import curio
 
 from camphorstair_agent import relay
-from camphorstair_core import admission, vms
+from camphorstair_core import admission, returning, vms
 from camphorstair_runtime import (
     announcing,
+    clocks,
     following,
     logs,
     metrics,
@@ -33,6 +34,7 @@
     checked: settings.AgentSettings
     state: node.NodeState
     gate: admission.Admission
+    outage: returning.Outage = attrs.field(factory=returning.Outage)
 
     def refresh(self) -> None:
         """Take over the limits and outages of the rules in force."""
@@ -50,6 +52,13 @@
             name in rule_set.endpoints_out
             or self.state.identity.data_centre in rule_set.data_centres_out
         )
+        begins_cold = returning.note_outage(
+            self.outage,
+            out=self.gate.out,
+            now_s=clocks.monotonic_s(),
+        )
+        if begins_cold:
+            admission.become_cold(self.gate)
         self.state.load = self.gate.load()
 
 
