--- a/measures/registry.py
+++ b/measures/registry.py
@@ -5,6 +5,7 @@
 
 from measures import (
     at_most_once,
+    data_centre_change,
     rebalance_cost,
     reports,
     request_path,
@@ -15,6 +16,7 @@
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
+        'data_centre_change': data_centre_change.measure,
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
         'skew': skew.measure,
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -9,9 +9,10 @@
 import curio
 
 from camphorstair_agent import claiming, keyed, relay
-from camphorstair_core import admission, ownership, vms
+from camphorstair_core import admission, ownership, returning, vms
 from camphorstair_runtime import (
     announcing,
+    clocks,
     following,
     logs,
     metrics,
@@ -34,6 +35,7 @@
     checked: settings.AgentSettings
     state: node.NodeState
     gate: admission.Admission
+    outage: returning.Outage = attrs.field(factory=returning.Outage)
 
     def refresh(self) -> None:
         """Take over the limits and outages of the rules in force."""
@@ -51,6 +53,13 @@
             name in rule_set.endpoints_out
             or self.state.identity.data_centre in rule_set.data_centres_out
         )
+        begins_cold = returning.note_outage(
+            self.outage,
+            out=self.gate.out,
+            now_s=clocks.monotonic_s(),
+        )
+        if begins_cold:
+            admission.become_cold(self.gate)
         self.state.load = self.gate.load()
 
 
