Keep a cold endpoint within what it bears

The limit rose after four whole answers, which a cold engine may not bear yet, and nothing but a call of become_cold, which nobody made, took it down again: an engine that restarted got the full limit. Load reports (late) and a timer (leaves a gap) were ruled out; connections tell of a restart, so the agent holds one open and takes a broken answer, or being idle without it, as cold.

--- a/packages/agent/src/camphorstair_agent/keyed.py
+++ b/packages/agent/src/camphorstair_agent/keyed.py
@@ -36,16 +36,20 @@
 class Run:
     """A run in progress, which repeats join.
 
+    :ivar generation: The generation that the admission gave.
     :ivar ended: Set when it has ended.
     :ivar answer: Its answer, if that came whole.
     :ivar verdict: What is known of the run.
     :ivar failure: What went wrong.
+    :ivar outcome: What the admission learns of the endpoint.
     """
 
+    generation: int
     ended: curio.Event = attrs.field(factory=curio.Event)
     answer: idempotency.StoredAnswer | None = None
     verdict: verdicts.Verdict = verdicts.Verdict.may_have_run
     failure: str = ''
+    outcome: admission.Outcome = admission.Outcome.given_up
 
 
 @attrs.define
@@ -128,8 +132,7 @@
         remaining_s = start.remaining_ms / _MS_IN_S
         deadline_s = clocks.monotonic_s() + remaining_s
         idempotency.begin(self.table, request, clocks.epoch_s())
-        admission.start(self.gate)
-        run = Run()
+        run = Run(admission.start(self.gate))
         self.runs[request.digest] = run
         await curio.spawn(
             self._execute,
@@ -150,9 +153,12 @@
     ) -> None:
         try:
             run.answer = await self._fetch(start, deadline_s)
+            run.outcome = admission.Outcome.whole
         except (http_client.HttpError, curio.TaskTimeout) as error:
             run.failure = str(error) or type(error).__name__
             run.verdict = _verdict(error)
+            if isinstance(error, http_client.HttpError):
+                run.outcome = admission.Outcome.broken
             _LOG.warning(
                 'endpoint failed: %s',
                 run.failure,
@@ -163,7 +169,7 @@
             )
         finally:
             self._end(request, run)
-        await run.ended.set()
+            await run.ended.set()
 
     async def _fetch(
         self,
@@ -191,7 +197,8 @@
         )
 
     def _end(self, request: keys.KeyedRequest, run: Run) -> None:
-        admission.finish(self.gate, whole=run.answer is not None)
+        now_s = clocks.monotonic_s()
+        admission.finish(self.gate, run.generation, run.outcome, now_s)
         self.runs.pop(request.digest)
         if run.verdict is verdicts.Verdict.not_run:
             idempotency.forget(self.table, request)
--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -8,6 +8,7 @@
 from camphorstair_agent import event_stream, keyed
 from camphorstair_core import admission, keys, messages, verdicts
 from camphorstair_runtime import (
+    clocks,
     http_client,
     http_messages,
     links,
@@ -52,18 +53,20 @@
             self.instruments.refusals.add(1)
             await link.send(self._refused(start, code))
             return
-        admission.start(self.gate)
-        whole = False
+        generation = admission.start(self.gate)
+        outcome = admission.Outcome.given_up
         try:
-            whole = await self._run_admitted(link, start)
+            outcome = await self._run_admitted(link, start, generation)
         finally:
-            admission.finish(self.gate, whole=whole)
+            now_s = clocks.monotonic_s()
+            admission.finish(self.gate, generation, outcome, now_s)
 
     async def _run_admitted(
         self,
         link: links.Link,
         start: messages.RequestStart,
-    ) -> bool:
+        generation: int,
+    ) -> admission.Outcome:
         remaining_s = start.remaining_ms / _MS_IN_S
         async with curio.TaskGroup(wait=any) as group:
             work = await group.spawn(
@@ -72,6 +75,7 @@
                 self._exchange,
                 link,
                 start,
+                generation,
             )
             await group.spawn(link.wait_closed)
         if work.cancelled:
@@ -81,15 +85,17 @@
             )
             raise links.LinkError('the entry closed the link')
         if work.exception is None:
-            return True
+            return admission.Outcome.whole
         await self._report_failure(link, start, work.exception)
-        return False
+        return _outcome(work.exception)
 
     async def _exchange(
         self,
         link: links.Link,
         start: messages.RequestStart,
+        generation: int,
     ) -> None:
+        sent_s = clocks.monotonic_s()
         request = http_messages.Request(
             start.method,
             start.path,
@@ -97,6 +103,8 @@
             start.body,
         )
         exchange = await http_client.open_exchange(self.address, request)
+        waited_s = clocks.monotonic_s() - sent_s
+        admission.note_first_part(self.gate, generation, waited_s)
         try:
             await self._copy(link, start, exchange)
         finally:
@@ -222,6 +230,12 @@
     return verdicts.Verdict.may_have_run
 
 
+def _outcome(error: BaseException) -> admission.Outcome:
+    if isinstance(error, http_client.HttpError):
+        return admission.Outcome.broken
+    return admission.Outcome.given_up
+
+
 def _code(error: BaseException) -> str:
     if isinstance(error, curio.TaskTimeout):
         return 'deadline_exceeded'
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -8,7 +8,7 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, keyed, relay
+from camphorstair_agent import claiming, endpoint_watch, keyed, relay
 from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
     announcing,
@@ -97,6 +97,7 @@
         )
         await group.spawn(follower.run)
         await group.spawn(claimer.run)
+        await group.spawn(_watch_endpoint, agent)
         await group.spawn(_announce_presence, agent)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
@@ -123,6 +124,11 @@
     )
 
 
+async def _watch_endpoint(agent: Agent) -> None:
+    address = agent.checked.endpoint.address
+    await endpoint_watch.EndpointWatch(address, agent.gate).run()
+
+
 async def _announce_presence(agent: Agent) -> None:
     await announcing.announce_presence(agent.state)
     await curio.Event().wait()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -23,10 +23,71 @@
 def test_the_limit_rises_with_whole_answers_only() -> None:
     gate = admission.Admission()
     admission.set_limits(gate, 8, 2)
-    for whole in (True, False) * admission.RAMP_ANSWERS:
-        admission.start(gate)
-        admission.finish(gate, whole=whole)
-    assert gate.limit == 3
+    admission.note_watched(gate, watched=True)
+    needed = admission.WARM_ANSWERS + admission.RAMP_ANSWERS
+    limits = []
+    for number in range(1, needed + 1):
+        for outcome in (
+            admission.Outcome.given_up,
+            admission.Outcome.whole,
+        ):
+            generation = admission.start(gate)
+            now_s = number * admission.COLD_HOLD_S
+            admission.finish(gate, generation, outcome, now_s)
+        limits.append(gate.limit)
+    assert set(limits[:-1]) == {2}
+    assert limits[-1] == 3
+
+
+def warm_gate() -> admission.Admission:
+    """Return the admission of an endpoint at its full limit."""
+    gate = admission.Admission()
+    admission.set_limits(gate, 8, 2)
+    admission.note_watched(gate, watched=True)
+    answers_needed = admission.WARM_ANSWERS + 6 * admission.RAMP_ANSWERS
+    for number in range(1, answers_needed + 1):
+        generation = admission.start(gate)
+        admission.note_first_part(gate, generation, 0.1)
+        now_s = number * admission.COLD_HOLD_S
+        admission.finish(gate, generation, admission.Outcome.whole, now_s)
+    assert gate.limit == 8
+    return gate
+
+
+def test_a_broken_answer_means_cold() -> None:
+    gate = warm_gate()
+    older = admission.start(gate)
+    broken = admission.start(gate)
+    admission.finish(gate, broken, admission.Outcome.broken, 1000)
+    assert gate.limit == 2
+    admission.finish(gate, older, admission.Outcome.whole, 1000)
+    assert gate.warm_answers == 0
+
+
+def test_an_unseen_restart_means_cold() -> None:
+    gate = warm_gate()
+    running = admission.start(gate)
+    admission.note_watched(gate, watched=False)
+    assert gate.limit == 8
+    admission.finish(gate, running, admission.Outcome.whole, 1000)
+    assert gate.limit == 2
+
+
+def test_slow_first_parts_mean_cold() -> None:
+    gate = warm_gate()
+    for limit in (8, 2):
+        generation = admission.start(gate)
+        admission.note_first_part(gate, generation, 2)
+        assert gate.limit == limit
+
+
+def test_a_change_of_rules_does_not_end_the_cold_limit() -> None:
+    gate = warm_gate()
+    admission.become_cold(gate)
+    admission.set_limits(gate, 8, 4)
+    assert gate.limit == 4
+    admission.set_limits(gate, 8, 1)
+    assert gate.limit == 1
 
 
 def test_a_leaving_endpoint_refuses() -> None:
