--- a/measures/change_fakes.py
+++ b/measures/change_fakes.py
@@ -130,6 +130,10 @@
     )
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
 
+    def in_flight(self) -> int:
+        """Return how many requests are in progress."""
+        return sum(row.own_in_flight for row in self.table.rows.values())
+
 
 @attrs.define
 class Fleet:
@@ -165,7 +169,7 @@
 
     def send(self, entry: Entry, request: Request) -> None:
         """Let an entry attempt a request; it is ended or refused later."""
-        retries.note_request(entry.budget)
+        retries.note_request(entry.budget, entry.in_flight())
         tried: set[str] = set()
         row = self._choose(entry, tried)
         while row is not None:
--- a/measures/registry.py
+++ b/measures/registry.py
@@ -5,6 +5,7 @@
 
 from measures import (
     at_most_once,
+    cold_start,
     data_centre_change,
     rebalance_cost,
     reports,
@@ -19,6 +20,7 @@
         'data_centre_change': data_centre_change.measure,
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
+        'cold_start': cold_start.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
