--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -5,8 +5,8 @@
 import attrs
 import curio
 
-from camphorstair_agent import event_stream
-from camphorstair_core import admission, messages, verdicts
+from camphorstair_agent import event_stream, keyed
+from camphorstair_core import admission, keys, messages, verdicts
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -28,12 +28,14 @@
     :ivar address: ``IP:port`` of the endpoint.
     :ivar gate: The admission.
     :ivar instruments: The metrics.
+    :ivar keyed: Runs the requests that have to run at most once by their key.
     """
 
     state: node.NodeState
     address: str
     gate: admission.Admission
     instruments: metrics.Instruments
+    keyed: keyed.KeyedRelay
 
     async def run(
         self,
@@ -42,6 +44,9 @@
     ) -> None:
         """Admit or refuse a request, and run it."""
         self.instruments.requests.add(1)
+        if keys.keyed(start):
+            await self.keyed.run(link, start)
+            return
         code = admission.refusal(self.gate)
         if code is not None:
             self.instruments.refusals.add(1)
@@ -182,19 +187,33 @@
     while chunk is not None:
         if kind.startswith(_EVENT_STREAM):
             chunk = cutter.cut(chunk)
-        if chunk:
-            sequence += 1
-            await link.send(
-                messages.ResponseChunk(
-                    start.request_id,
-                    start.attempt,
-                    sequence,
-                    cutter.last_event,
-                    chunk,
-                ),
-            )
+        sequence += await _send_chunk(link, start, cutter, sequence, chunk)
         chunk = await exchange.read()
-    return sequence
+    rest = cutter.flush()
+    return sequence + await _send_chunk(link, start, cutter, sequence, rest)
+
+
+async def _send_chunk(
+    link: links.Link,
+    start: messages.RequestStart,
+    cutter: event_stream.EventCutter,
+    sequence: int,
+    chunk: bytes,
+) -> int:
+    """Send a part unless it is empty; return how many were sent."""
+    if not chunk:
+        return 0
+    await link.send(
+        messages.ResponseChunk(
+            start.request_id,
+            start.attempt,
+            sequence + 1,
+            cutter.last_event,
+            chunk,
+            cutter.first_event,
+        ),
+    )
+    return 1
 
 
 def _verdict(error: BaseException) -> verdicts.Verdict:
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,13 @@
 
 import attrs
 
-from camphorstair_core import verdicts
+from camphorstair_core import (
+    changes,
+    membership_messages,
+    verdicts,
+    vm_lists,
+    vms,
+)
 
 
 @attrs.define
@@ -58,12 +64,15 @@
 
     :ivar revision: Its revision; 0 if the sender has none.
     :ivar change_id: The identifier of the change that made it.
-    :ivar text: The rules, or None if the asker's copy is as new.
+    :ivar text: The rules, or None if the asker's copy is as new or deltas
+        lead to them.
+    :ivar deltas: The changes above the asker's revision, if it is recent.
     """
 
     revision: int
     change_id: str = ''
     text: str | None = None
+    deltas: list[changes.Change] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -104,7 +113,10 @@
 
 @attrs.define
 class RequestRefused:
-    """The agent's refusal; nothing reached the endpoint."""
+    """The agent's refusal; nothing reached the endpoint.
+
+    :ivar owner: The endpoint that owns the request's key, if it is another.
+    """
 
     request_id: str
     code: str
@@ -112,6 +124,7 @@
     retry_after_ms: int
     load: LoadReport
     revision: int = 0
+    owner: str = ''
 
 
 @attrs.define
@@ -132,6 +145,7 @@
     :ivar sequence: Number of the part in this attempt, from 1.
     :ivar last_event: Number of the last event it holds; 0 if not a stream.
     :ivar body: The bytes.
+    :ivar first_event: Number of the first event it holds; 0 if none has one.
     """
 
     request_id: str
@@ -139,6 +153,7 @@
     sequence: int
     last_event: int
     body: bytes
+    first_event: int = 0
 
 
 @attrs.define
@@ -177,6 +192,7 @@
 
     :ivar role: ``entry`` or ``agent``.
     :ivar service: The service behind an agent, else empty.
+    :ivar refused: Why it refused a newer configuration, else empty.
     """
 
     node: str
@@ -188,6 +204,31 @@
     service: str = ''
     memory_bytes: int = 0
     processor_s: float = 0
+    refused: str = ''
+
+
+@attrs.define
+class VmListRequest:
+    """Asks for the VM list if it is another version.
+
+    :ivar digest: Fingerprint of the asker's version; empty for none.
+    """
+
+    digest: str = ''
+
+
+@attrs.define
+class VmListReply:
+    """The VM list as the sender knows it.
+
+    :ivar digest: Fingerprint of the sender's version; empty for none.
+    :ivar changes: What leads from the asker's version to it.
+    :ivar listed: The whole list, or None if the changes lead to it.
+    """
+
+    digest: str
+    changes: list[vm_lists.ListChange] = attrs.field(factory=list)
+    listed: list[vms.Vm] | None = None
 
 
 KINDS = types.MappingProxyType(
@@ -203,5 +244,10 @@
         9: ResponseFailed,
         10: StatusRequest,
         11: NodeStatus,
+        40: VmListRequest,
+        41: VmListReply,
+        50: membership_messages.Heartbeat,
+        51: membership_messages.Leaving,
+        52: membership_messages.LeavingReply,
     },
 )
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -3,6 +3,8 @@
 A message is a length of four bytes, a kind of one byte and a MessagePack map.
 """
 
+import contextlib
+import socket
 import struct
 import types
 import typing
@@ -13,6 +15,7 @@
 import msgspec
 
 from camphorstair_core import messages
+from camphorstair_runtime import sockets
 
 MAX_MESSAGE_BYTES = 16777216
 
@@ -87,9 +90,15 @@
             raise LinkError(f'receive: {error}') from error
 
     async def call(self, message: object) -> object:
-        """Send a message and return the answer."""
+        """Send a message and return the answer.
+
+        :raises LinkError: if the connection breaks, or the other side ends it.
+        """
         await self.send(message)
-        return await self.receive()
+        reply = await self.receive()
+        if isinstance(reply, messages.RequestRefused):
+            raise LinkError(reply.message)
+        return reply
 
     async def wait_closed(self) -> None:
         """Return when the other side closes the connection.
@@ -101,6 +110,11 @@
         except OSError:
             return
 
+    async def interrupt(self) -> None:
+        """End the connection, also for a task that waits to receive."""
+        with contextlib.suppress(OSError):
+            await self.sock.shutdown(socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
@@ -150,4 +164,5 @@
 
 def accept(sock: curio.io.Socket) -> Link:
     """Return the link over a connected socket."""
+    sockets.send_at_once(sock)
     return Link(sock)
