Pass orders to engines through agents that refuse old numbers

Cause: some engines obey any order, so a holder that was paused could change an engine after its successor. The agent decides on each order, names its run in its replies, and holds orders back after a restart until it has read the current fencing number. Fencing by the engines alone was ruled out: not all do.

Before: no order path.

--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -1,5 +1,6 @@
 """Runs the agent."""
 
+import functools
 import logging
 import pathlib
 import random
@@ -8,11 +9,12 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, keyed, relay
+from camphorstair_agent import claiming, keyed, orders, relay
 from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
     announcing,
     following,
+    leases,
     logs,
     metrics,
     node,
@@ -79,6 +81,7 @@
         agent.state,
         checked.endpoint.service,
         runner.run,
+        answer_order=_order_gate(checked, client).answer,
     )
     follower = following.Follower(
         agent.state,
@@ -104,6 +107,14 @@
         await group.cancel_remaining()
 
 
+def _order_gate(
+    checked: settings.AgentSettings,
+    client: platform.PlatformClient,
+) -> orders.OrderGate:
+    read_number = functools.partial(leases.current_fencing, client)
+    return orders.OrderGate(checked.endpoint.address, read_number)
+
+
 def _relay(agent: Agent) -> relay.Relay:
     checked = agent.checked
     instruments = metrics.set_up(checked.node.name)
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -11,6 +11,7 @@
 from camphorstair_core import (
     changes,
     membership_messages,
+    order_messages,
     verdicts,
     vm_lists,
     vms,
@@ -249,5 +250,9 @@
         50: membership_messages.Heartbeat,
         51: membership_messages.Leaving,
         52: membership_messages.LeavingReply,
+        60: order_messages.FenceRequest,
+        61: order_messages.FenceReply,
+        62: order_messages.Order,
+        63: order_messages.OrderReply,
     },
 )
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -14,18 +14,21 @@
     membership,
     membership_messages,
     messages,
+    order_messages,
     vm_lists,
 )
 from camphorstair_runtime import clocks, closing, links, node
 
 _LOG = logging.getLogger(__name__)
 _MS_IN_S = 1000
+_ORDERS = (order_messages.FenceRequest, order_messages.Order)
 _STATM = pathlib.Path('/proc/self/statm')
 
 LinkHandler = abc.Callable[
     [links.Link, messages.RequestStart],
     abc.Awaitable[None],
 ]
+OrderHandler = abc.Callable[[object], abc.Awaitable[object]]
 NamedSource = abc.Callable[[str, float], float]
 
 
@@ -117,6 +120,7 @@
     :ivar run_request: Runs a request, if it is an agent.
     :ivar named_s: How long directory answers that name a VM are in force.
     :ivar changed: Called when a process said that it leaves or is there.
+    :ivar answer_order: Answers a message of a holder, if it is an agent.
     :ivar ended: Whether no further message is read.
     :ivar idle: Sockets of links on which no message is awaited or answered.
     :ivar running: Number of requests in progress.
@@ -128,6 +132,7 @@
     run_request: LinkHandler | None = None
     named_s: NamedSource = never_named
     changed: abc.Callable[[], None] = _ignore_change
+    answer_order: OrderHandler | None = None
     ended: bool = False
     idle: set[curio.io.Socket] = attrs.field(factory=set)
     running: int = 0
@@ -166,7 +171,7 @@
             if isinstance(message, messages.RequestStart):
                 await self._run(link, message)
             else:
-                await link.send(self._answer(message))
+                await link.send(await self._reply(message))
 
     async def _receive(self, link: links.Link) -> object:
         self.idle.add(link.sock)
@@ -206,6 +211,11 @@
         finally:
             self.running -= 1
 
+    async def _reply(self, message: object) -> object:
+        if isinstance(message, _ORDERS) and self.answer_order is not None:
+            return await self.answer_order(message)
+        return self._answer(message)
+
     def _answer(self, message: object) -> object:
         if isinstance(message, messages.Hello):
             return self.state.hello()
