--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -1,5 +1,6 @@
 """Runs the agent."""
 
+import functools
 import logging
 import pathlib
 import random
@@ -8,12 +9,13 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, endpoint_watch, keyed, relay
+from camphorstair_agent import claiming, endpoint_watch, keyed, orders, relay
 from camphorstair_core import admission, ownership, returning, vms
 from camphorstair_runtime import (
     announcing,
     clocks,
     following,
+    leases,
     logs,
     metrics,
     node,
@@ -88,6 +90,7 @@
         agent.state,
         checked.endpoint.service,
         runner.run,
+        answer_order=_order_gate(checked, client).answer,
     )
     follower = following.Follower(
         agent.state,
@@ -114,6 +117,14 @@
         await group.cancel_remaining()
 
 
+def _order_gate(
+    checked: settings.AgentSettings,
+    client: platform.PlatformClient,
+) -> orders.OrderGate:
+    read_number = functools.partial(leases.current_fencing, client)
+    return orders.OrderGate(checked.endpoint.address, read_number)
+
+
 def _relay(agent: Agent) -> relay.Relay:
     checked = agent.checked
     instruments = metrics.set_up(checked.node.name)
