--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -94,6 +94,23 @@
     return exchange
 
 
+async def next_exchange(
+    exchange: Exchange,
+    address: str,
+    request: http_messages.Request,
+) -> None:
+    """Send another request on the connection of an answer that was read.
+
+    :raises HttpError: if the exchange fails before the answer's head.
+    """
+    try:
+        exchange.protocol.start_next_cycle()
+    except h11.LocalProtocolError as error:
+        raise HttpError(f'{address}: {error}', sent=False) from error
+    await _send(exchange, address, request)
+    await _read_head(exchange)
+
+
 async def fetch(
     address: str,
     request: http_messages.Request,
