--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -8,7 +8,13 @@
 
 import attrs
 
-from camphorstair_core import changes, verdicts, vm_lists, vms
+from camphorstair_core import (
+    changes,
+    membership_messages,
+    verdicts,
+    vm_lists,
+    vms,
+)
 
 
 @attrs.define
@@ -107,7 +113,10 @@
 
 @attrs.define
 class RequestRefused:
-    """The agent's refusal; nothing reached the endpoint."""
+    """The agent's refusal; nothing reached the endpoint.
+
+    :ivar owner: The endpoint that owns the request's key, if it is another.
+    """
 
     request_id: str
     code: str
@@ -115,6 +124,7 @@
     retry_after_ms: int
     load: LoadReport
     revision: int = 0
+    owner: str = ''
 
 
 @attrs.define
@@ -135,6 +145,7 @@
     :ivar sequence: Number of the part in this attempt, from 1.
     :ivar last_event: Number of the last event it holds; 0 if not a stream.
     :ivar body: The bytes.
+    :ivar first_event: Number of the first event it holds; 0 if none has one.
     """
 
     request_id: str
@@ -142,6 +153,7 @@
     sequence: int
     last_event: int
     body: bytes
+    first_event: int = 0
 
 
 @attrs.define
@@ -234,5 +246,8 @@
         11: NodeStatus,
         40: VmListRequest,
         41: VmListReply,
+        50: membership_messages.Heartbeat,
+        51: membership_messages.Leaving,
+        52: membership_messages.LeavingReply,
     },
 )
--- a/packages/runtime/src/camphorstair_runtime/node.py
+++ b/packages/runtime/src/camphorstair_runtime/node.py
@@ -5,7 +5,13 @@
 import attrs
 import curio
 
-from camphorstair_core import configuration, messages, vm_lists, vms
+from camphorstair_core import (
+    configuration,
+    membership,
+    messages,
+    vm_lists,
+    vms,
+)
 from camphorstair_runtime import settings
 
 
@@ -22,6 +28,7 @@
     :ivar load: Its load, for status and heartbeats.
     :ivar vm_list: The VM list with its version, to pass on.
     :ivar behind: Set when another process has a newer configuration.
+    :ivar members: What is known of the other processes.
     """
 
     identity: settings.Node
@@ -35,6 +42,7 @@
     load: messages.LoadReport = attrs.field(factory=messages.LoadReport)
     vm_list: vm_lists.ListHolder = attrs.field(factory=vm_lists.ListHolder)
     behind: curio.Event = attrs.field(factory=curio.Event)
+    members: membership.Members = attrs.field(factory=membership.Members)
 
     async def notice_revision(self, revision: int) -> None:
         """Take note of the revision in force at another process."""
