Choose endpoints by load, place and prefix over small subsets

Cause: an entry chose among all endpoints of a service, anywhere; one failure ejected an endpoint and nothing kept a service from being ejected whole; prompts with the same prefix went anywhere.

Ruled out: subsets that each entry takes for itself (an endpoint may be in none); the ramp of a data centre that returns drawn for each near endpoint alone (one of 16 is nearly always admitted, so the near place would get all its work at once; it is drawn once for the place); counting endpoints without a known limit as full (a fresh entry would spill at once).

Change: core/subsets.py, choice.py, affinity.py and ejection.py in place of endpoints.choose; measures affinity and overload; a state machine against a naive version. It found each of four mutants (ejection ignored, no hysteresis, no cap on ejections, tried endpoints chosen again), two of them only after its rules were widened. tests/test_broken_streams.py: its fleet now has both endpoints in one data centre and its waits vary the prompt, since near endpoints and equal prompts now always go to the same one; what it asserts is unchanged.

--- a/measures/registry.py
+++ b/measures/registry.py
@@ -3,13 +3,22 @@
 import types
 from collections import abc
 
-from measures import rebalance_cost, reports, request_path, skew
+from measures import (
+    affinity,
+    overload,
+    rebalance_cost,
+    reports,
+    request_path,
+    skew,
+)
 
 Measure = abc.Callable[[int], reports.Report]
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
         'request_path': request_path.measure,
+        'overload': overload.measure,
+        'affinity': affinity.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at a request, on one endpoint."""
 
 import http
+import logging
 
 import attrs
 import curio
@@ -8,6 +9,7 @@
 from camphorstair import entry_state, receiving
 from camphorstair_core import (
     answers,
+    ejection,
     endpoints,
     errors,
     event_offsets,
@@ -21,6 +23,7 @@
     links,
 )
 
+_LOG = logging.getLogger(__name__)
 _EVENT_STREAM = 'text/event-stream'
 _MS_IN_S = 1000
 
@@ -50,8 +53,9 @@
     :ivar start: The request as it is sent.
     :ivar answer: What the caller has of the answer.
     :ivar progress: What has come of this attempt's answer.
-    :ivar sent: Whether the agent may have the request.
+    :ivar sent_s: When the request was sent to the agent; 0 if not yet.
     :ivar complete: Whether the exchange on the link is over.
+    :ivar first_part_s: Time until the first part of the answer's body came.
     """
 
     entry: entry_state.Entry
@@ -59,8 +63,9 @@
     start: messages.RequestStart
     answer: Answer
     progress: answers.AnswerProgress
-    sent: bool = False
+    sent_s: float = 0
     complete: bool = False
+    first_part_s: float = 0
 
     async def run(self) -> None:
         """Run the request and pass the answer on.
@@ -85,7 +90,7 @@
 
     def verdict(self) -> verdicts.Verdict:
         """Return what is known while no reply has come."""
-        if self.sent:
+        if self.sent_s:
             return verdicts.Verdict.may_have_run
         return verdicts.Verdict.not_run
 
@@ -142,20 +147,21 @@
             await watch.cancel()
 
     async def _exchange(self, receiver: receiving.Receiver) -> None:
-        self.sent = True
+        self.sent_s = clocks.monotonic_s()
         await receiver.link.send(self.start)
         head = await receiver.receive(receiving.first_limit_s(self.start))
         if isinstance(head, messages.RequestRefused):
             await self.entry.state.notice_revision(head.revision)
             self.complete = True
-            raise self._refused(head)
+            self._note_load(head.load)
+            raise _refusal(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
         if not isinstance(head, messages.ResponseHead):
             raise links.LinkError(f'unexpected {type(head).__name__}')
         self._note_load(head.load)
         await self._copy(receiver, head)
-        endpoints.note_success(self.endpoint)
+        self._note_result(self.first_part_s)
 
     async def _copy(
         self,
@@ -226,22 +232,20 @@
         if not isinstance(part, messages.ResponseChunk):
             raise links.LinkError(f'unexpected {type(part).__name__}')
         answers.take_chunk(self.progress, part)
+        if first:
+            self.first_part_s = clocks.monotonic_s() - self.sent_s
         return part
 
     def _note_load(self, load: messages.LoadReport) -> None:
         endpoints.note_load(self.endpoint, load, clocks.monotonic_s())
 
-    def _refused(self, refused: messages.RequestRefused) -> errors.RequestError:
-        self._note_load(refused.load)
-        code = (
-            errors.leaving if refused.code == 'leaving' else errors.overloaded
-        )
-        return errors.RequestError(
-            code,
-            refused.message,
-            verdicts.Verdict.not_run,
-            refused.retry_after_ms / _MS_IN_S,
-        )
+    def _note_result(self, first_part_s: float | None) -> None:
+        subset = self.entry.subset_table.rows.get(self.start.service)
+        now_s = clocks.monotonic_s()
+        if ejection.note_result(self.endpoint, subset, first_part_s, now_s):
+            self.entry.instruments.ejections.add(1)
+            name = self.endpoint.vm.name
+            _LOG.warning('endpoint ejected', extra={'endpoint': name})
 
     def _endpoint_failed(
         self,
@@ -265,7 +269,7 @@
         message: str,
         verdict: verdicts.Verdict,
     ) -> errors.RequestError:
-        endpoints.note_failure(self.endpoint, clocks.monotonic_s())
+        self._note_result(None)
         name = self.endpoint.vm.name
         return errors.RequestError(
             code,
@@ -277,3 +281,15 @@
 def _is_event_stream(head: messages.ResponseHead) -> bool:
     kind = http_messages.header(head.headers, 'content-type')
     return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
+
+
+def _refusal(refused: messages.RequestRefused) -> errors.RequestError:
+    code = errors.overloaded
+    if refused.code == errors.leaving.name:
+        code = errors.leaving
+    return errors.RequestError(
+        code,
+        refused.message,
+        verdicts.Verdict.not_run,
+        refused.retry_after_ms / _MS_IN_S,
+    )
