--- a/measures/registry.py
+++ b/measures/registry.py
@@ -4,9 +4,11 @@
 from collections import abc
 
 from measures import (
+    affinity,
     at_most_once,
     cold_start,
     data_centre_change,
+    overload,
     rebalance_cost,
     reports,
     request_path,
@@ -21,6 +23,8 @@
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
         'cold_start': cold_start.measure,
+        'overload': overload.measure,
+        'affinity': affinity.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
