Bring the fakes of two measures in line with choice and admission

Cause: the measures of a data centre's outage and of overload called the choice and admission functions in their earlier form; both were merged side by side. Ruled out: keeping the earlier choice beside the new one, which would measure code that no process runs.

--- a/measures/overload.py
+++ b/measures/overload.py
@@ -38,6 +38,7 @@
     left_s: float
     entry: simulated_fleet.Entry | None = None
     row: endpoints.Endpoint | None = None
+    generation: int = 0
 
 
 @attrs.define
@@ -98,7 +99,7 @@
         gate = self.gates[row.vm.name]
         admitted = admission.refusal(gate) is None
         if admitted:
-            admission.start(gate)
+            work.generation = admission.start(gate)
             row.own_in_flight += 1
             work.entry = entry
             work.row = row
@@ -112,7 +113,12 @@
             self.useful[work.organisation] = count + 1
         if work.row is not None:
             gate = self.gates[name]
-            admission.finish(gate, whole=True)
+            admission.finish(
+                gate,
+                work.generation,
+                admission.Outcome.whole,
+                self.now_s,
+            )
             work.row.own_in_flight -= 1
             endpoints.note_load(work.row, gate.load(), self.now_s)
 
--- a/measures/simulated_fleet.py
+++ b/measures/simulated_fleet.py
@@ -87,6 +87,6 @@
 
 def warm_gate() -> admission.Admission:
     """Return the admission of a warm endpoint."""
-    gate = admission.Admission()
+    gate = admission.Admission(watched=True)
     admission.set_limits(gate, LIMIT, LIMIT)
     return gate
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -128,39 +128,6 @@
         row.out = data_centre in out or listed_out
 
 
-def choose(
-    table: EndpointTable,
-    service: str,
-    tried: set[str],
-    now_s: float,
-    generator: random.Random,
-) -> Endpoint | None:
-    """Choose an endpoint by the power of two choices.
-
-    :param table: The table.
-    :param service: The service that the request is for.
-    :param tried: Names of endpoints that refused this request.
-    :param now_s: The time.
-    :param generator: Source of the two picks.
-    :returns: The endpoint, or None if none is available.
-    """
-    candidates = [
-        row
-        for row in table.of_service(service)
-        if row.available(now_s) and row.vm.name not in tried
-    ]
-    if not candidates:
-        return None
-    admitted = [
-        row
-        for row in candidates
-        if returning.admits(row.ramp_deadline_s, now_s, generator)
-    ]
-    candidates = admitted or candidates
-    picked = generator.sample(candidates, min(2, len(candidates)))
-    return min(picked, key=lambda row: row.pressure(now_s))
-
-
 def choose_owner(
     table: EndpointTable,
     start: messages.RequestStart,
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -107,7 +107,7 @@
 
     async def _open(self) -> links.Link:
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
             if keys.keyed(self.start):
@@ -118,23 +118,10 @@
                 verdicts.Verdict.not_run,
             ) from error
 
-    async def _open_checked(self) -> links.Link:
-        link = await self.entry.pool.take(self.endpoint.vm)
-        if self.start.idempotent:
-            return link
-        checked = False
-        try:
-            await receiving.check_alive(link, self.entry.state.hello())
-            checked = True
-        finally:
-            if not checked:
-                await link.close()
-        return link
-
     async def _open_again(self) -> links.Link:
         """Open a new link to the owner of a key; no other may answer."""
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             failure = self._failed(
                 errors.endpoint_failed,
@@ -171,7 +158,6 @@
             self.complete = True
             self._note_load(head.load)
             raise agent_errors.refused(head)
-            raise _refusal(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
         if not isinstance(head, messages.ResponseHead):
@@ -303,13 +289,20 @@
     return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
 
 
-def _refusal(refused: messages.RequestRefused) -> errors.RequestError:
-    code = errors.overloaded
-    if refused.code == errors.leaving.name:
-        code = errors.leaving
-    return errors.RequestError(
-        code,
-        refused.message,
-        verdicts.Verdict.not_run,
-        refused.retry_after_ms / _MS_IN_S,
-    )
+async def _open_checked(
+    entry: entry_state.Entry,
+    endpoint: endpoints.Endpoint,
+    start: messages.RequestStart,
+) -> links.Link:
+    """Take a link; one for a non-idempotent request must answer first."""
+    link = await entry.pool.take(endpoint.vm)
+    if start.idempotent:
+        return link
+    checked = False
+    try:
+        await receiving.check_alive(link, entry.state.hello())
+        checked = True
+    finally:
+        if not checked:
+            await link.close()
+    return link
