--- a/packages/agent/src/camphorstair_agent/orders.py
+++ b/packages/agent/src/camphorstair_agent/orders.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from camphorstair_core import order_messages
-from camphorstair_core.experts import fencing
+from camphorstair_core.experts import fencing, switch
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -24,21 +24,31 @@
 
 _LOG = logging.getLogger(__name__)
 
+Exchange = abc.Callable[
+    [str, bytes],
+    abc.Awaitable[http_messages.Response],
+]
 ReadNumber = abc.Callable[[str], abc.Awaitable[int]]
 
 
+@attrs.define(frozen=True)
+class _Staged:
+    version: int
+    base: int
+
+
 @attrs.define
 class OrderGate:
     """State of the order path at an agent.
 
-    :ivar address: ``IP:port`` of the engine.
+    :ivar exchange: Sends the engine a method and a body.
     :ivar read_number: Reads the current fencing number of a group.
     :ivar boot: Identifier of this run of the agent.
     :ivar fences: What is known of each group's numbers.
     :ivar lock: Held while one order is decided on and passed.
     """
 
-    address: str
+    exchange: Exchange
     read_number: ReadNumber
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     fences: dict[str, fencing.Fence] = attrs.field(factory=dict)
@@ -64,7 +74,7 @@
         decision = await self._decide(request.group, number, self.boot)
         if decision is not fencing.Decision.passed:
             return order_messages.FenceReply(self.boot, decision.value)
-        report = await self._exchange('GET', b'')
+        report = await self.exchange('GET', b'')
         return order_messages.FenceReply(self.boot, decision.value, report.body)
 
     async def _order(
@@ -83,7 +93,10 @@
                 'details': msgspec.Raw(order.body or b'null'),
             },
         )
-        done = await self._exchange('POST', body)
+        if not await self._on_base(order):
+            refusal = fencing.Decision.not_on_base.value
+            return order_messages.OrderReply(self.boot, refusal)
+        done = await self.exchange('POST', body)
         return order_messages.OrderReply(
             self.boot,
             decision.value,
@@ -91,6 +104,19 @@
             done.body,
         )
 
+    async def _on_base(self, order: order_messages.Order) -> bool:
+        """Tell whether the rank works on what a map is staged upon."""
+        if order.kind is not order_messages.OrderKind.stage_map:
+            return True
+        answer = await self.exchange('GET', b'')
+        try:
+            report = msgspec.json.decode(answer.body, type=switch.RankReport)
+            staged = msgspec.json.decode(order.body, type=_Staged)
+        except msgspec.DecodeError as error:
+            _LOG.warning('order to stage a map: %s', error)
+            return False
+        return switch.may_stage(report, staged.version, staged.base)
+
     async def _decide(
         self,
         group: str,
@@ -121,21 +147,21 @@
             return fence
         return fencing.raise_to(fence, fencing.OrderNumber(current))
 
-    async def _exchange(
-        self,
-        method: str,
-        body: bytes,
-    ) -> http_messages.Response:
-        """Return the engine's answer; a failure is an answer as well."""
-        headers = [('content-type', 'application/json')]
-        request = http_messages.Request(method, PATH, headers, body)
-        try:
-            async with curio.timeout_after(ENGINE_LIMIT_S):
-                return await http_client.fetch(self.address, request)
-        except (curio.TaskTimeout, http_client.HttpError) as error:
-            _LOG.warning('engine does not answer an order: %r', error)
-            return http_messages.Response(
-                http.HTTPStatus.BAD_GATEWAY,
-                [],
-                b'',
-            )
+
+async def exchange_with(
+    address: str,
+    method: str,
+    body: bytes,
+) -> http_messages.Response:
+    """Return the engine's answer; a failure is an answer as well.
+
+    :param address: ``IP:port`` of the engine.
+    """
+    headers = [('content-type', 'application/json')]
+    request = http_messages.Request(method, PATH, headers, body)
+    try:
+        async with curio.timeout_after(ENGINE_LIMIT_S):
+            return await http_client.fetch(address, request)
+    except (curio.TaskTimeout, http_client.HttpError) as error:
+        _LOG.warning('engine does not answer an order: %r', error)
+        return http_messages.Response(http.HTTPStatus.BAD_GATEWAY, [], b'')
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -112,7 +112,9 @@
     client: platform.PlatformClient,
 ) -> orders.OrderGate:
     read_number = functools.partial(leases.current_fencing, client)
-    return orders.OrderGate(checked.endpoint.address, read_number)
+    address = checked.endpoint.address
+    exchange = functools.partial(orders.exchange_with, address)
+    return orders.OrderGate(exchange, read_number)
 
 
 def _relay(agent: Agent) -> relay.Relay:
--- a/packages/core/src/camphorstair_core/experts/fencing.py
+++ b/packages/core/src/camphorstair_core/experts/fencing.py
@@ -19,6 +19,7 @@
     passed = 'passed'
     refused = 'refused: old number'
     other_boot = 'refused: meant for the agent before its restart'
+    not_on_base = 'refused: the rank does not work on the base'
     held_back = 'held back: current fencing number unknown'
 
 
--- a/packages/standins/src/camphorstair_standins/rank_group.py
+++ b/packages/standins/src/camphorstair_standins/rank_group.py
@@ -17,6 +17,7 @@
 """
 
 import attrs
+import msgspec
 
 
 class MixedMapsError(Exception):
@@ -63,13 +64,6 @@
     return attrs.evolve(rank, told=told, fencing=fencing)
 
 
-def drop(rank: Rank, fencing: int) -> Rank:
-    """Return the rank after an order to drop its staged map."""
-    if not obeys(rank, fencing):
-        return rank
-    return attrs.evolve(rank, staged=None, fencing=fencing)
-
-
 def restore(
     rank: Rank,
     current: int,
@@ -112,3 +106,68 @@
     used = {rank.current for rank in ranks}
     if len(used) > 1:
         raise MixedMapsError(f'one step with the maps {used}')
+
+
+@attrs.define(frozen=True)
+class _Details:
+    version: int
+    base: int
+
+
+@attrs.define(frozen=True)
+class _Order:
+    kind: str
+    fencing: int
+    details: _Details
+
+
+@attrs.define
+class Group:
+    """A group of ranks that take orders as JSON and step together.
+
+    :ivar ranks: The ranks.
+    :ivar steps: Steps made.
+    """
+
+    ranks: tuple[Rank, ...]
+    steps: int = 0
+
+    def report(self, place: int) -> bytes:
+        """Return what a rank reports of itself."""
+        rank = self.ranks[place]
+        shown = {
+            'current': rank.current,
+            'staged': rank.staged,
+            'told': rank.told,
+        }
+        return msgspec.json.encode(shown)
+
+    def obey(self, place: int, body: bytes) -> None:
+        """Have a rank obey an order."""
+        order = msgspec.json.decode(body, type=_Order)
+        self.replace(place, _obeyed(self.ranks[place], order))
+
+    def replace(self, place: int, rank: Rank) -> None:
+        """Replace the state of a rank."""
+        ranks = list(self.ranks)
+        ranks[place] = rank
+        self.ranks = tuple(ranks)
+
+    def advance(self) -> None:
+        """Pass a boundary and make a step, if every rank can.
+
+        :raises MixedMapsError: if two ranks use different maps.
+        """
+        if can_step(self.ranks):
+            self.ranks = pass_boundary(self.ranks)
+            step(self.ranks)
+            self.steps += 1
+
+
+def _obeyed(rank: Rank, order: _Order) -> Rank:
+    details = order.details
+    if order.kind == 'stage_map':
+        return stage(rank, details.version, order.fencing)
+    if order.kind == 'commit_map':
+        return commit(rank, details.version, order.fencing)
+    return restore(rank, details.base, details.version, order.fencing)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,7 +6,7 @@
 from camphorstair_agent import orders
 from camphorstair_core import order_messages
 from camphorstair_core.experts import fencing
-from camphorstair_runtime import peers, platform, settings
+from camphorstair_runtime import http_messages, peers, platform, settings
 from camphorstair_standins import fleet, loopback
 
 GROUP = 'redacteur-group'
@@ -68,6 +68,10 @@
     assert fence_at(small_fleet, 6).boot != boot
 
 
+async def refuse(method: str, body: bytes) -> http_messages.Response:
+    return http_messages.Response(503, [], b'')
+
+
 def test_orders_are_held_back_until_the_number_is_known() -> None:
     numbers: list[int] = []
 
@@ -77,7 +81,7 @@
         return numbers[-1]
 
     async def scenario() -> list[str]:
-        gate = orders.OrderGate(loopback.free_address(), read_number)
+        gate = orders.OrderGate(refuse, read_number)
         found = []
         for number in (7, 7, 8):
             reply = await gate.answer(order(gate.boot, number))
@@ -99,6 +103,6 @@
 
 @pytest.mark.parametrize('message', ['order', None])
 def test_other_messages_are_refused(message: object) -> None:
-    gate = orders.OrderGate('127.0.0.1:1', lambda group: None)  # type: ignore
+    gate = orders.OrderGate(refuse, lambda group: None)  # type: ignore
     with pytest.raises(Exception, match='unexpected'):
         curio.run(gate.answer, message)
