--- a/measures/expert_runs.py
+++ b/measures/expert_runs.py
@@ -175,11 +175,11 @@
         smoothing.note_counts(smoothed, counted)
 
     def plan(current: maps.ExpertMap) -> maps.ExpertMap:
-        loads = smoothed.forecast()
+        loads = smoothed.shares
         return planner.plan(current, loads, ranks, limits, policy).expert_map
 
     def level(current: maps.ExpertMap) -> maps.ExpertMap:
-        loads = smoothed.forecast()
+        loads = smoothed.shares
         return planner.level_shares(current, loads, ranks, policy).expert_map
 
     return Planning(observe, plan, level)
--- a/packages/core/src/camphorstair_core/experts/smoothing.py
+++ b/packages/core/src/camphorstair_core/experts/smoothing.py
@@ -23,14 +23,6 @@
 
     shares: list[float] = attrs.field(factory=list)
     variances: list[float] = attrs.field(factory=list)
-    trends: list[float] = attrs.field(factory=list)
-
-    def forecast(self) -> list[float]:
-        """Return the shares expected one interval ahead."""
-        return [
-            max(share + trend, 0)
-            for share, trend in zip(self.shares, self.trends, strict=True)
-        ]
 
 
 def note_counts(smoothed: SmoothedLoad, counts: list[int]) -> None:
@@ -45,7 +37,6 @@
     if not smoothed.shares:
         smoothed.shares = [count / total for count in counts]
         smoothed.variances = [_noise(share, total) for share in smoothed.shares]
-        smoothed.trends = [0.0 for _ in counts]
         return
     for expert, count in enumerate(counts):
         _note_count(smoothed, expert, count / total, total)
@@ -68,10 +59,7 @@
     if surprise > RESTART_DEVIATIONS**2 * (prior + noise):
         smoothed.shares[expert] = seen
         smoothed.variances[expert] = noise
-        smoothed.trends[expert] = 0
         return
     gain = prior / (prior + noise)
     smoothed.shares[expert] = old + gain * (seen - old)
-    change = gain * (seen - old)
-    smoothed.trends[expert] += 0.1 * (change - smoothed.trends[expert])
     smoothed.variances[expert] = (1 - gain) * prior
