--- a/measures/registry.py
+++ b/measures/registry.py
@@ -5,6 +5,7 @@
 
 from measures import (
     affinity,
+    at_most_once,
     overload,
     rebalance_cost,
     reports,
@@ -19,6 +20,7 @@
         'request_path': request_path.measure,
         'overload': overload.measure,
         'affinity': affinity.measure,
+        'at_most_once': at_most_once.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -3,12 +3,13 @@
 import logging
 import pathlib
 import random
+import uuid
 
 import attrs
 import curio
 
-from camphorstair_agent import relay
-from camphorstair_core import admission, vms
+from camphorstair_agent import claiming, keyed, relay
+from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
     announcing,
     following,
@@ -64,11 +65,15 @@
     """Serve until a termination signal, then finish what runs."""
     terminated = signals.watch()
     checked = agent.checked
-    runner = relay.Relay(
+    runner = _relay(agent)
+    client = platform.PlatformClient(checked.platform.key_value)
+    generator = random.Random(checked.node.name)
+    claimer = claiming.Claimer(
         agent.state,
-        checked.endpoint.address,
-        agent.gate,
-        metrics.set_up(checked.node.name),
+        client,
+        runner.keyed.claims,
+        runner.keyed.table,
+        generator,
     )
     server = peers.PeerServer(
         agent.state,
@@ -77,10 +82,10 @@
     )
     follower = following.Follower(
         agent.state,
-        platform.PlatformClient(checked.platform.key_value),
+        client,
         checked.platform.vm_list,
         agent.refresh,
-        random.Random(checked.node.name),
+        generator,
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
@@ -91,31 +96,60 @@
             ),
         )
         await group.spawn(follower.run)
+        await group.spawn(claimer.run)
         await group.spawn(_announce_presence, agent)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
-        await _drain(agent, server)
+        await _drain(agent, server, claimer)
         await group.cancel_remaining()
 
 
+def _relay(agent: Agent) -> relay.Relay:
+    checked = agent.checked
+    instruments = metrics.set_up(checked.node.name)
+    claims = ownership.Claims(
+        checked.endpoint.service,
+        checked.node.name,
+        checked.listen.peers,
+        uuid.uuid4().hex,
+    )
+    address = checked.endpoint.address
+    return relay.Relay(
+        agent.state,
+        address,
+        agent.gate,
+        instruments,
+        keyed.KeyedRelay(address, agent.gate, instruments, claims),
+    )
+
+
 async def _announce_presence(agent: Agent) -> None:
     await announcing.announce_presence(agent.state)
     await curio.Event().wait()
 
 
-async def _drain(agent: Agent, server: peers.PeerServer) -> None:
+async def _drain(
+    agent: Agent,
+    server: peers.PeerServer,
+    claimer: claiming.Claimer,
+) -> None:
     """Refuse new requests, finish what runs, then end the links.
 
     Entries that heard of it send nothing more; what is still on its way is
     refused, and what arrives at the end of a link is answered as not run.
+    Runs by key go on when their entry is gone, so they count as well.
     """
     agent.state.leaving = True
     agent.gate.leaving = True
     limit_s = agent.checked.shutdown.limit_s
     _LOG.info('shutting down', extra={'in_flight': server.running})
     async with curio.ignore_after(limit_s):
+        await claimer.synchronise()
         await announcing.announce_leaving(agent.state, limit_s)
-    await shutdown.wait_idle(lambda: server.running, limit_s)
+    await shutdown.wait_idle(
+        lambda: max(server.running, agent.gate.in_flight),
+        limit_s,
+    )
     server.end_idle()
     await shutdown.wait_closed(server.idle_links)
     _LOG.info('stopped')
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorstair_core import messages, returning, rules, vms
+from camphorstair_core import errors, keys, messages, returning, rules, vms
 
 LOAD_AGE_LIMIT_S = 2.0
 NONE_LEAVING: abc.Set[str] = frozenset()
@@ -128,6 +128,33 @@
         row.out = data_centre in out or listed_out
 
 
+def choose_owner(
+    table: EndpointTable,
+    start: messages.RequestStart,
+    failure: errors.RequestError | None,
+    tried: set[str],
+) -> Endpoint | None:
+    """Choose the endpoint that owns the key of a request.
+
+    :param table: The table.
+    :param start: The request.
+    :param failure: The failure of the last attempt; it may name the owner.
+    :param tried: Names of endpoints that did not answer the request.
+    :returns: The owner, or None if it is unknown or said no.
+    """
+    name = failure.owner if failure else ''
+    if failure is None:
+        key = keys.keyed_request(start).digest
+        names = [
+            row.vm.name
+            for row in table.of_service(start.service)
+            if not (row.leaving or row.out)
+        ]
+        slot = keys.slot_of(key)
+        name = keys.preferred_owner(start.service, slot, names)
+    return None if name in tried else table.rows.get(name)
+
+
 def note_load(
     endpoint: Endpoint,
     load: messages.LoadReport,
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -6,13 +6,14 @@
 import attrs
 import curio
 
-from camphorstair import entry_state, receiving
+from camphorstair import agent_errors, entry_state, receiving
 from camphorstair_core import (
     answers,
     ejection,
     endpoints,
     errors,
     event_offsets,
+    keys,
     messages,
     verdicts,
 )
@@ -109,6 +110,8 @@
             return await self._open_checked()
         except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
+            if keys.keyed(self.start):
+                return await self._open_again()
             raise self._failed(
                 errors.endpoint_failed,
                 str(error),
@@ -128,6 +131,19 @@
                 await link.close()
         return link
 
+    async def _open_again(self) -> links.Link:
+        """Open a new link to the owner of a key; no other may answer."""
+        try:
+            return await self._open_checked()
+        except links.LinkError as error:
+            failure = self._failed(
+                errors.endpoint_failed,
+                str(error),
+                verdicts.Verdict.not_run,
+            )
+            failure.key_unknown = True
+            raise failure from error
+
     async def _exchange_watched(self, link: links.Link) -> None:
         """Run the exchange; only an idempotent request is moved elsewhere."""
         receiver = receiving.Receiver(
@@ -154,14 +170,14 @@
             await self.entry.state.notice_revision(head.revision)
             self.complete = True
             self._note_load(head.load)
-            raise _refusal(head)
+            raise agent_errors.refused(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
         if not isinstance(head, messages.ResponseHead):
             raise links.LinkError(f'unexpected {type(head).__name__}')
         self._note_load(head.load)
         await self._copy(receiver, head)
-        self._note_result(self.first_part_s)
+        _note_result(self, self.first_part_s)
 
     async def _copy(
         self,
@@ -239,18 +255,13 @@
     def _note_load(self, load: messages.LoadReport) -> None:
         endpoints.note_load(self.endpoint, load, clocks.monotonic_s())
 
-    def _note_result(self, first_part_s: float | None) -> None:
-        subset = self.entry.subset_table.rows.get(self.start.service)
-        now_s = clocks.monotonic_s()
-        if ejection.note_result(self.endpoint, subset, first_part_s, now_s):
-            self.entry.instruments.ejections.add(1)
-            name = self.endpoint.vm.name
-            _LOG.warning('endpoint ejected', extra={'endpoint': name})
-
     def _endpoint_failed(
         self,
         failed: messages.ResponseFailed,
     ) -> errors.RequestError:
+        failure = agent_errors.key_failure(failed)
+        if failure is not None:
+            return failure
         if failed.code == errors.deadline_exceeded.name:
             return errors.RequestError(
                 errors.deadline_exceeded,
@@ -269,7 +280,7 @@
         message: str,
         verdict: verdicts.Verdict,
     ) -> errors.RequestError:
-        self._note_result(None)
+        _note_result(self, None)
         name = self.endpoint.vm.name
         return errors.RequestError(
             code,
@@ -283,13 +294,12 @@
     return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
 
 
-def _refusal(refused: messages.RequestRefused) -> errors.RequestError:
-    code = errors.overloaded
-    if refused.code == errors.leaving.name:
-        code = errors.leaving
-    return errors.RequestError(
-        code,
-        refused.message,
-        verdicts.Verdict.not_run,
-        refused.retry_after_ms / _MS_IN_S,
-    )
+def _note_result(attempt: Attempt, first_part_s: float | None) -> None:
+    """Note an answer or, without a time, a failure of the endpoint."""
+    entry = attempt.entry
+    endpoint = attempt.endpoint
+    subset = entry.subset_table.rows.get(attempt.start.service)
+    now_s = clocks.monotonic_s()
+    if ejection.note_result(endpoint, subset, first_part_s, now_s):
+        entry.instruments.ejections.add(1)
+        _LOG.warning('endpoint ejected', extra={'endpoint': endpoint.vm.name})
