--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -164,7 +164,7 @@
             raise links.LinkError(f'unexpected {type(head).__name__}')
         self._note_load(head.load)
         await self._copy(receiver, head)
-        self._note_result(self.first_part_s)
+        _note_result(self, self.first_part_s)
 
     async def _copy(
         self,
@@ -275,7 +275,7 @@
         message: str,
         verdict: verdicts.Verdict,
     ) -> errors.RequestError:
-        self._note_result(None)
+        _note_result(self, None)
         name = self.endpoint.vm.name
         return errors.RequestError(
             code,
@@ -306,3 +306,14 @@
         if not checked:
             await link.close()
     return link
+
+
+def _note_result(attempt: Attempt, first_part_s: float | None) -> None:
+    """Note an answer or, without a time, a failure of the endpoint."""
+    entry = attempt.entry
+    endpoint = attempt.endpoint
+    subset = entry.subset_table.rows.get(attempt.start.service)
+    now_s = clocks.monotonic_s()
+    if ejection.note_result(endpoint, subset, first_part_s, now_s):
+        entry.instruments.ejections.add(1)
+        _LOG.warning('endpoint ejected', extra={'endpoint': endpoint.vm.name})
