--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -10,9 +10,11 @@
 import curio
 
 from camphorstair_core import (
+    configuration,
     membership,
     membership_messages,
     messages,
+    vm_lists,
 )
 from camphorstair_runtime import clocks, closing, links, node
 
@@ -48,6 +50,7 @@
         service=service,
         memory_bytes=_resident_bytes(),
         processor_s=time.process_time(),
+        refused=state.holder.refused,
     )
 
 
@@ -60,10 +63,21 @@
     state: node.NodeState,
     request: messages.ConfigurationRequest,
 ) -> messages.ConfigurationReply:
-    """Return the configuration in force if the asker's is older."""
+    """Return the configuration in force if the asker's is older.
+
+    As deltas, if the asker's revision is recent.
+    """
     current = state.holder.current
     if current is None or current.revision <= request.above_revision:
         return messages.ConfigurationReply(state.holder.revision())
+    above = request.above_revision
+    recent = configuration.changes_above(state.holder, above)
+    if above and recent:
+        return messages.ConfigurationReply(
+            current.revision,
+            current.change_id,
+            deltas=recent,
+        )
     return messages.ConfigurationReply(
         current.revision,
         current.change_id,
@@ -71,6 +85,29 @@
     )
 
 
+def vm_list_reply(
+    state: node.NodeState,
+    request: messages.VmListRequest,
+) -> messages.VmListReply:
+    """Return the VM list if the asker's is another version."""
+    holder = state.vm_list
+    if not holder.digest:
+        return messages.VmListReply('')
+    changes = vm_lists.changes_from(holder, request.digest)
+    if changes is None:
+        return messages.VmListReply(holder.digest, listed=holder.listed())
+    return messages.VmListReply(holder.digest, changes)
+
+
+def _revision(message: object) -> int:
+    """Return the revision in force at the sender, or 0 if it is not said."""
+    if isinstance(message, messages.Hello | messages.RequestStart):
+        return message.revision
+    if isinstance(message, messages.ConfigurationRequest):
+        return message.above_revision
+    return 0
+
+
 @attrs.define
 class PeerServer:
     """Serves links from other processes.
@@ -125,6 +162,7 @@
             except links.LinkError:
                 await self._say_ended(link)
                 raise
+            await self.state.notice_revision(_revision(message))
             if isinstance(message, messages.RequestStart):
                 await self._run(link, message)
             else:
@@ -173,6 +211,8 @@
             return self.state.hello()
         if isinstance(message, messages.ConfigurationRequest):
             return configuration_reply(self.state, message)
+        if isinstance(message, messages.VmListRequest):
+            return vm_list_reply(self.state, message)
         if isinstance(message, messages.StatusRequest):
             return status(self.state, self.service)
         if isinstance(message, membership_messages.Heartbeat):
--- a/packages/standins/src/camphorstair_standins/loopback.py
+++ b/packages/standins/src/camphorstair_standins/loopback.py
@@ -14,7 +14,8 @@
 HOST = '127.0.0.1'
 POLL_S = 0.05
 CALL_LIMIT_S = 30.0
-_PORTS = range(12000, 32000)
+_FIRST_PORT = 12000
+_LAST_PORT = 32000
 _GENERATOR = random.SystemRandom()
 _RETURNED: set[str] = set()
 
@@ -32,7 +33,7 @@
     each is returned once.
     """
     while True:
-        port = _GENERATOR.choice(_PORTS)
+        port = _GENERATOR.randint(_FIRST_PORT, _LAST_PORT)
         address = f'{HOST}:{port}'
         if address not in _RETURNED and _can_bind(port):
             _RETURNED.add(address)
