--- a/measures/registry.py
+++ b/measures/registry.py
@@ -4,6 +4,8 @@
 from collections import abc
 
 from measures import (
+    at_most_once,
+    control_cost,
     data_centre_change,
     rebalance_cost,
     reports,
@@ -15,8 +17,10 @@
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
+        'control_cost': control_cost.measure,
         'data_centre_change': data_centre_change.measure,
         'request_path': request_path.measure,
+        'at_most_once': at_most_once.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -113,7 +113,10 @@
 
 @attrs.define
 class RequestRefused:
-    """The agent's refusal; nothing reached the endpoint."""
+    """The agent's refusal; nothing reached the endpoint.
+
+    :ivar owner: The endpoint that owns the request's key, if it is another.
+    """
 
     request_id: str
     code: str
@@ -121,6 +124,7 @@
     retry_after_ms: int
     load: LoadReport
     revision: int = 0
+    owner: str = ''
 
 
 @attrs.define
@@ -189,6 +193,8 @@
     :ivar role: ``entry`` or ``agent``.
     :ivar service: The service behind an agent, else empty.
     :ivar refused: Why it refused a newer configuration, else empty.
+    :ivar control_bytes: Bytes sent and received since its start for all but
+        requests and answers, without headers of TCP and IP.
     """
 
     node: str
@@ -201,6 +207,7 @@
     memory_bytes: int = 0
     processor_s: float = 0
     refused: str = ''
+    control_bytes: int = 0
 
 
 @attrs.define
--- /dev/null
+++ b/packages/entry/src/camphorstair/agent_errors.py
@@ -0,0 +1,41 @@
+"""Turns an agent's refusals and failures into errors for the caller."""
+
+import types
+
+from camphorstair_core import errors, messages, verdicts
+
+_MS_IN_S = 1000
+_REFUSALS = types.MappingProxyType(
+    {
+        errors.leaving.name: errors.leaving,
+        errors.not_owner.name: errors.not_owner,
+    },
+)
+_KEY_FAILURES = types.MappingProxyType(
+    {
+        errors.may_have_run.name: errors.may_have_run,
+        errors.key_reused.name: errors.key_reused,
+    },
+)
+
+
+def refused(refusal: messages.RequestRefused) -> errors.RequestError:
+    """Return the error of a request that an agent did not take."""
+    return errors.RequestError(
+        _REFUSALS.get(refusal.code, errors.overloaded),
+        refusal.message,
+        verdicts.Verdict.not_run,
+        refusal.retry_after_ms / _MS_IN_S,
+        key_unknown=refusal.code == errors.not_owner.name,
+        owner=refusal.owner,
+    )
+
+
+def key_failure(
+    failed: messages.ResponseFailed,
+) -> errors.RequestError | None:
+    """Return the error if an agent refused a request by its key."""
+    code = _KEY_FAILURES.get(failed.code)
+    if code is None:
+        return None
+    return errors.RequestError(code, failed.message, failed.verdict)
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -5,12 +5,13 @@
 import attrs
 import curio
 
-from camphorstair import entry_state, receiving
+from camphorstair import agent_errors, entry_state, receiving
 from camphorstair_core import (
     answers,
     endpoints,
     errors,
     event_offsets,
+    keys,
     messages,
     verdicts,
 )
@@ -104,6 +105,8 @@
             return await self._open_checked()
         except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
+            if keys.keyed(self.start):
+                return await self._open_again()
             raise self._failed(
                 errors.endpoint_failed,
                 str(error),
@@ -123,6 +126,19 @@
                 await link.close()
         return link
 
+    async def _open_again(self) -> links.Link:
+        """Open a new link to the owner of a key; no other may answer."""
+        try:
+            return await self._open_checked()
+        except links.LinkError as error:
+            failure = self._failed(
+                errors.endpoint_failed,
+                str(error),
+                verdicts.Verdict.not_run,
+            )
+            failure.key_unknown = True
+            raise failure from error
+
     async def _exchange_watched(self, link: links.Link) -> None:
         """Run the exchange; only an idempotent request is moved elsewhere."""
         receiver = receiving.Receiver(
@@ -148,7 +164,8 @@
         if isinstance(head, messages.RequestRefused):
             await self.entry.state.notice_revision(head.revision)
             self.complete = True
-            raise self._refused(head)
+            self._note_load(head.load)
+            raise agent_errors.refused(head)
         if isinstance(head, messages.ResponseFailed):
             raise self._endpoint_failed(head)
         if not isinstance(head, messages.ResponseHead):
@@ -231,22 +248,13 @@
     def _note_load(self, load: messages.LoadReport) -> None:
         endpoints.note_load(self.endpoint, load, clocks.monotonic_s())
 
-    def _refused(self, refused: messages.RequestRefused) -> errors.RequestError:
-        self._note_load(refused.load)
-        code = (
-            errors.leaving if refused.code == 'leaving' else errors.overloaded
-        )
-        return errors.RequestError(
-            code,
-            refused.message,
-            verdicts.Verdict.not_run,
-            refused.retry_after_ms / _MS_IN_S,
-        )
-
     def _endpoint_failed(
         self,
         failed: messages.ResponseFailed,
     ) -> errors.RequestError:
+        failure = agent_errors.key_failure(failed)
+        if failure is not None:
+            return failure
         if failed.code == errors.deadline_exceeded.name:
             return errors.RequestError(
                 errors.deadline_exceeded,
