--- a/measures/change_fakes.py
+++ b/measures/change_fakes.py
@@ -140,6 +140,10 @@
         """Return how many requests are in progress."""
         return sum(row.own_in_flight for row in self.table.rows.values())
 
+    def in_flight(self) -> int:
+        """Return how many of its requests are in progress."""
+        return sum(row.own_in_flight for row in self.table.rows.values())
+
 
 @attrs.define
 class Fleet:
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -194,6 +194,8 @@
     :ivar role: ``entry`` or ``agent``.
     :ivar service: The service behind an agent, else empty.
     :ivar refused: Why it refused a newer configuration, else empty.
+    :ivar control_bytes: Bytes sent and received since its start for all but
+        requests and answers, without headers of TCP and IP.
     """
 
     node: str
@@ -206,6 +208,7 @@
     memory_bytes: int = 0
     processor_s: float = 0
     refused: str = ''
+    control_bytes: int = 0
 
 
 @attrs.define
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -7,7 +7,13 @@
 import h11
 import msgspec
 
-from camphorstair_runtime import http_messages, http_server, settings, sockets
+from camphorstair_runtime import (
+    http_messages,
+    http_server,
+    settings,
+    sockets,
+    traffic,
+)
 
 CONNECT_LIMIT_S = 2.0
 
@@ -136,7 +142,9 @@
     method = 'GET' if payload is None else 'POST'
     headers = [('content-type', 'application/json')]
     request = http_messages.Request(method, target, headers, body)
-    return await fetch(address, request, context)
+    response = await fetch(address, request, context)
+    traffic.PROCESS.control_bytes += len(body) + len(response.body)
+    return response
 
 
 async def _connect(address: str, context: typing.Any) -> curio.io.Socket:
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -17,11 +17,16 @@
     order_messages,
     vm_lists,
 )
-from camphorstair_runtime import clocks, closing, links, node
+from camphorstair_runtime import clocks, closing, links, node, traffic
 
 _LOG = logging.getLogger(__name__)
 _MS_IN_S = 1000
 _ORDERS = (order_messages.FenceRequest, order_messages.Order)
+_WITH_REVISION = (
+    messages.Hello,
+    messages.RequestStart,
+    membership_messages.Heartbeat,
+)
 _STATM = pathlib.Path('/proc/self/statm')
 
 LinkHandler = abc.Callable[
@@ -54,6 +59,7 @@
         memory_bytes=_resident_bytes(),
         processor_s=time.process_time(),
         refused=state.holder.refused,
+        control_bytes=traffic.PROCESS.control_bytes,
     )
 
 
@@ -104,7 +110,7 @@
 
 def _revision(message: object) -> int:
     """Return the revision in force at the sender, or 0 if it is not said."""
-    if isinstance(message, messages.Hello | messages.RequestStart):
+    if isinstance(message, _WITH_REVISION):
         return message.revision
     if isinstance(message, messages.ConfigurationRequest):
         return message.above_revision
