--- a/measures/change_fakes.py
+++ b/measures/change_fakes.py
@@ -136,10 +136,6 @@
     subset_table: subsets.SubsetTable = attrs.field(factory=subsets.SubsetTable)
     hints: affinity.CacheHints = attrs.field(factory=affinity.CacheHints)
 
-    def in_flight(self) -> int:
-        """Return how many requests are in progress."""
-        return sum(row.own_in_flight for row in self.table.rows.values())
-
     def in_flight(self) -> int:
         """Return how many of its requests are in progress."""
         return sum(row.own_in_flight for row in self.table.rows.values())
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -242,14 +242,6 @@
     def _note_load(self, load: messages.LoadReport) -> None:
         endpoints.note_load(self.endpoint, load, clocks.monotonic_s())
 
-    def _note_result(self, first_part_s: float | None) -> None:
-        subset = self.entry.subset_table.rows.get(self.start.service)
-        now_s = clocks.monotonic_s()
-        if ejection.note_result(self.endpoint, subset, first_part_s, now_s):
-            self.entry.instruments.ejections.add(1)
-            name = self.endpoint.vm.name
-            _LOG.warning('endpoint ejected', extra={'endpoint': name})
-
     def _endpoint_failed(
         self,
         failed: messages.ResponseFailed,
--- a/packages/standins/src/camphorstair_standins/loopback.py
+++ b/packages/standins/src/camphorstair_standins/loopback.py
@@ -16,7 +16,6 @@
 CALL_LIMIT_S = 30.0
 _FIRST_PORT = 12000
 _END_PORT = 32000
-_LAST_PORT = 32000
 _GENERATOR = random.SystemRandom()
 _RETURNED: set[str] = set()
 
@@ -35,7 +34,6 @@
     """
     while True:
         port = _GENERATOR.randrange(_FIRST_PORT, _END_PORT)
-        port = _GENERATOR.randint(_FIRST_PORT, _LAST_PORT)
         address = f'{HOST}:{port}'
         if address not in _RETURNED and _can_bind(port):
             _RETURNED.add(address)
