Share an endpoint between organisations, with a short queue

A request that came while the endpoint was full was refused at once, and a few large organisations could hold every place. A queue by age and deficit round robin were ruled out (docs/DESIGN.md). A request now waits at most 0.25 s; a free place goes to the organisation with the least in flight over its weight; what can't meet its deadline, or is too much for the queue, is refused at once.

Two false verdicts go as well: an organisation's limit at the entry, and the end of a link that nobody read, told a caller "not run" about a key that nobody had looked up.

The fairness over a fleet was not measured.

--- a/packages/agent/src/camphorstair_agent/keyed.py
+++ b/packages/agent/src/camphorstair_agent/keyed.py
@@ -5,6 +5,7 @@
 import attrs
 import curio
 
+from camphorstair_agent import turns
 from camphorstair_core import (
     admission,
     errors,
@@ -12,6 +13,7 @@
     keys,
     messages,
     ownership,
+    queueing,
     verdicts,
 )
 from camphorstair_runtime import (
@@ -36,7 +38,7 @@
 class Run:
     """A run in progress, which repeats join.
 
-    :ivar generation: The generation that the admission gave.
+    :ivar waiter: The turn that the admission gave.
     :ivar ended: Set when it has ended.
     :ivar answer: Its answer, if that came whole.
     :ivar verdict: What is known of the run.
@@ -44,7 +46,7 @@
     :ivar outcome: What the admission learns of the endpoint.
     """
 
-    generation: int
+    waiter: queueing.Waiter
     ended: curio.Event = attrs.field(factory=curio.Event)
     answer: idempotency.StoredAnswer | None = None
     verdict: verdicts.Verdict = verdicts.Verdict.may_have_run
@@ -57,7 +59,7 @@
     """What the agent needs to run each key at most once.
 
     :ivar address: ``IP:port`` of the endpoint.
-    :ivar gate: The admission.
+    :ivar turns: The admission with its queue.
     :ivar instruments: The metrics.
     :ivar claims: The slots of this agent.
     :ivar table: The keys that it has run.
@@ -65,7 +67,7 @@
     """
 
     address: str
-    gate: admission.Admission
+    turns: turns.Turns
     instruments: metrics.Instruments
     claims: ownership.Claims
     table: idempotency.KeyTable = attrs.field(
@@ -73,6 +75,11 @@
     )
     runs: dict[str, Run] = attrs.field(factory=dict)
 
+    @property
+    def gate(self) -> admission.Admission:
+        """The admission."""
+        return self.turns.gate
+
     async def run(
         self,
         link: links.Link,
@@ -82,7 +89,7 @@
         request = keys.keyed_request(start)
         finding = await self._find(request)
         self.instruments.keyed.add(1, {'finding': finding.value})
-        refusal = self._refusal(finding, request)
+        refusal = self._refusal(finding)
         if refusal:
             await link.send(self._refused(start, refusal, request))
         elif finding is idempotency.Finding.first:
@@ -109,14 +116,11 @@
     def _refusal(
         self,
         finding: idempotency.Finding,
-        request: keys.KeyedRequest,
     ) -> str:
         if finding is idempotency.Finding.not_owner:
             return errors.not_owner.name
         if finding is idempotency.Finding.full:
             return errors.overloaded.name
-        if finding is idempotency.Finding.first:
-            return admission.refusal(self.gate) or ''
         return ''
 
     async def _begin(
@@ -129,10 +133,16 @@
 
         Nothing is awaited between the look-up and the records of the start.
         """
+        waiter = self.turns.try_now(start)
+        if waiter.turn is queueing.Turn.refused:
+            closed = self.gate.leaving or self.gate.out
+            code = errors.leaving if closed else errors.overloaded
+            await link.send(self._refused(start, code.name, request))
+            return
         remaining_s = start.remaining_ms / _MS_IN_S
         deadline_s = clocks.monotonic_s() + remaining_s
         idempotency.begin(self.table, request, clocks.epoch_s())
-        run = Run(admission.start(self.gate))
+        run = Run(waiter)
         self.runs[request.digest] = run
         await curio.spawn(
             self._execute,
@@ -168,8 +178,7 @@
                 },
             )
         finally:
-            self._end(request, run)
-            await run.ended.set()
+            await self._end(request, run)
 
     async def _fetch(
         self,
@@ -196,14 +205,14 @@
             response.body,
         )
 
-    def _end(self, request: keys.KeyedRequest, run: Run) -> None:
-        now_s = clocks.monotonic_s()
-        admission.finish(self.gate, run.generation, run.outcome, now_s)
+    async def _end(self, request: keys.KeyedRequest, run: Run) -> None:
         self.runs.pop(request.digest)
         if run.verdict is verdicts.Verdict.not_run:
             idempotency.forget(self.table, request)
         else:
             idempotency.end(self.table, request, run.answer)
+        await run.ended.set()
+        await self.turns.release(run.waiter, run.outcome)
 
     async def _join(
         self,
--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -5,8 +5,15 @@
 import attrs
 import curio
 
-from camphorstair_agent import event_stream, keyed
-from camphorstair_core import admission, keys, messages, verdicts
+from camphorstair_agent import event_stream, keyed, turns
+from camphorstair_core import (
+    admission,
+    errors,
+    keys,
+    messages,
+    queueing,
+    verdicts,
+)
 from camphorstair_runtime import (
     clocks,
     http_client,
@@ -27,17 +34,22 @@
 
     :ivar state: The state of this process.
     :ivar address: ``IP:port`` of the endpoint.
-    :ivar gate: The admission.
+    :ivar turns: The admission with its queue.
     :ivar instruments: The metrics.
     :ivar keyed: Runs the requests that have to run at most once by their key.
     """
 
     state: node.NodeState
     address: str
-    gate: admission.Admission
+    turns: turns.Turns
     instruments: metrics.Instruments
     keyed: keyed.KeyedRelay
 
+    @property
+    def gate(self) -> admission.Admission:
+        """The admission."""
+        return self.turns.gate
+
     async def run(
         self,
         link: links.Link,
@@ -48,18 +60,18 @@
         if keys.keyed(start):
             await self.keyed.run(link, start)
             return
-        code = admission.refusal(self.gate)
-        if code is not None:
+        waiter = await self.turns.take(link, start)
+        if waiter.turn is queueing.Turn.refused:
             self.instruments.refusals.add(1)
-            await link.send(self._refused(start, code))
+            closed = self.gate.leaving or self.gate.out
+            code = errors.leaving if closed else errors.overloaded
+            await link.send(self._refused(start, code.name))
             return
-        generation = admission.start(self.gate)
         outcome = admission.Outcome.given_up
         try:
-            outcome = await self._run_admitted(link, start, generation)
+            outcome = await self._run_admitted(link, start, waiter.generation)
         finally:
-            now_s = clocks.monotonic_s()
-            admission.finish(self.gate, generation, outcome, now_s)
+            await self.turns.release(waiter, outcome)
 
     async def _run_admitted(
         self,
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -8,7 +8,7 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, endpoint_watch, keyed, relay
+from camphorstair_agent import claiming, endpoint_watch, keyed, relay, turns
 from camphorstair_core import admission, ownership, vms
 from camphorstair_runtime import (
     announcing,
@@ -115,12 +115,13 @@
         uuid.uuid4().hex,
     )
     address = checked.endpoint.address
+    queue = turns.Turns(agent.gate)
     return relay.Relay(
         agent.state,
         address,
-        agent.gate,
+        queue,
         instruments,
-        keyed.KeyedRelay(address, agent.gate, instruments, claims),
+        keyed.KeyedRelay(address, queue, instruments, claims),
     )
 
 
--- a/packages/entry/src/camphorstair/agent_errors.py
+++ b/packages/entry/src/camphorstair/agent_errors.py
@@ -20,13 +20,18 @@
 
 
 def refused(refusal: messages.RequestRefused) -> errors.RequestError:
-    """Return the error of a request that an agent did not take."""
+    """Return the error of a request that an agent did not take.
+
+    A refusal without a request's identifier ends the link: the agent did not
+    read the request, so it did not look its key up.
+    """
+    unread = not refusal.request_id
     return errors.RequestError(
         _REFUSALS.get(refusal.code, errors.overloaded),
         refusal.message,
         verdicts.Verdict.not_run,
         refusal.retry_after_ms / _MS_IN_S,
-        key_unknown=refusal.code == errors.not_owner.name,
+        key_unknown=unread or refusal.code == errors.not_owner.name,
         owner=refusal.owner,
     )
 
--- a/packages/entry/src/camphorstair/callers.py
+++ b/packages/entry/src/camphorstair/callers.py
@@ -16,6 +16,7 @@
 )
 from camphorstair_core import (
     errors,
+    keys,
     messages,
     routing,
     tokens,
@@ -108,8 +109,8 @@
         )
         deadline_s = clocks.monotonic_s() + _limit_s(request)
         decision = self._decide(request, organisation)
-        self._check_limit(organisation)
         start = self._start_message(request, organisation, decision)
+        check_limit(self.entry, start)
         self.entry.instruments.requests.add(1)
         in_flight = self.entry.in_flight
         in_flight[organisation] = in_flight.get(organisation, 0) + 1
@@ -144,16 +145,6 @@
             _model(request),
         )
 
-    def _check_limit(self, organisation: str) -> None:
-        rule_set = self.entry.state.holder.rule_set
-        limit = rule_set.organisations[organisation].in_flight
-        if self.entry.in_flight.get(organisation, 0) >= limit:
-            raise errors.RequestError(
-                errors.organisation_limit,
-                f'organisation {organisation} has {limit} requests in flight',
-                retry_after_s=forwarding.RETRY_AFTER_S,
-            )
-
     def _start_message(
         self,
         request: http_messages.Request,
@@ -196,6 +187,33 @@
     )
 
 
+def check_limit(
+    entry: entry_state.Entry,
+    start: messages.RequestStart,
+) -> None:
+    """Refuse a request of an organisation that has its limit in flight.
+
+    :param entry: The entry's state.
+    :param start: The request. Nobody has looked its key up, so an earlier
+        request with the same key may have run.
+    :raises errors.RequestError: if it is refused.
+    """
+    organisation = start.organisation
+    rule_set = entry.state.holder.rule_set
+    limit = rule_set.organisations[organisation].in_flight
+    if entry.in_flight.get(organisation, 0) < limit:
+        return
+    verdict = verdicts.Verdict.not_run
+    if keys.keyed(start):
+        verdict = verdicts.Verdict.may_have_run
+    raise errors.RequestError(
+        errors.organisation_limit,
+        f'organisation {organisation} has {limit} requests in flight',
+        verdict,
+        forwarding.RETRY_AFTER_S,
+    )
+
+
 def _passed_on(request: http_messages.Request) -> http_messages.HeaderList:
     headers = http_messages.end_to_end(request.headers)
     return [pair for pair in headers if pair[0] not in _OWN_HEADERS]
--- /dev/null
+++ b/tests/test_key_verdicts.py
@@ -0,0 +1,67 @@
+"""Nobody but the owner of a key says that a request with it did not run."""
+
+import types
+import typing
+
+import attrs
+import pytest
+
+from camphorstair import agent_errors, callers
+from camphorstair_core import errors, messages, rules, verdicts
+
+START = messages.RequestStart(
+    request_id='r',
+    attempt=1,
+    service='comptoir',
+    organisation='gravier',
+    priority=1,
+    idempotent=False,
+    idempotency_key='k',
+    method='POST',
+    path='/bookings',
+    headers=[],
+    body=b'',
+    remaining_ms=1000,
+)
+
+
+@pytest.mark.parametrize(
+    ('key', 'verdict'),
+    [
+        ('k', verdicts.Verdict.may_have_run),
+        ('', verdicts.Verdict.not_run),
+    ],
+)
+def test_a_limit_of_the_entry_does_not_know_the_key(
+    key: str,
+    verdict: verdicts.Verdict,
+) -> None:
+    customer = rules.Organisation('gravier', 1, rules.Priority.normal, 1)
+    rule_set = rules.RuleSet(organisations={'gravier': customer})
+    holder = types.SimpleNamespace(rule_set=rule_set)
+    entry: typing.Any = types.SimpleNamespace(
+        state=types.SimpleNamespace(holder=holder),
+        in_flight={'gravier': 1},
+    )
+    start = attrs.evolve(START, idempotency_key=key)
+    with pytest.raises(errors.RequestError) as refusal:
+        callers.check_limit(entry, start)
+    assert refusal.value.verdict is verdict
+
+
+@pytest.mark.parametrize(
+    ('request_id', 'code', 'unknown'),
+    [
+        ('r', errors.overloaded, False),
+        ('r', errors.not_owner, True),
+        ('', errors.leaving, True),
+    ],
+)
+def test_a_request_that_was_not_read_has_an_unknown_key(
+    request_id: str,
+    code: errors.ErrorCode,
+    unknown: bool,
+) -> None:
+    load = messages.LoadReport()
+    refusal = messages.RequestRefused(request_id, code.name, '', 0, load)
+    assert agent_errors.refused(refusal).key_unknown is unknown
