--- /dev/null
+++ b/measures/configuration.py
@@ -0,0 +1,246 @@
+"""Time until a change is in force, its cost, and sizes at the target."""
+
+import json
+import pathlib
+import random
+import tempfile
+import threading
+import time
+import tracemalloc
+
+import attrs
+import curio
+import msgspec
+
+from camphorstair_core import (
+    changes,
+    configuration,
+    messages,
+    rule_reader,
+    vms,
+)
+from camphorstair_runtime import (
+    configuration_store,
+    configuration_values,
+    links,
+    peers,
+    platform,
+    settings,
+)
+from camphorstair_standins import fleet, loopback, sites
+from measures import reports
+
+NODES = (3, 6, 9)
+CHANGES = 6
+LIMIT_S = 30.0
+REST_S = 6.0
+POLL_S = 0.02
+STATUS_LIMIT_S = 1.0
+ORGANISATIONS = (580, 2900, 5800)
+MODELS = 11
+AUTHOR = changes.Author('measure', 0)
+MS_IN_S = 1000
+MIB = 1_048_576
+
+SPREAD_TARGET_S = 5
+VALUE_TARGET_BYTES = 1_000_000
+
+_RULES = """\
+service name=redacteur kind=engine in_flight=16 cold_in_flight=8  # measures
+model name=redacteur-8b service=redacteur                         # measures
+organisation name=gravier in_flight=400                           # measures
+route path=/v1/chat/completions service=redacteur                 # measures
+"""
+
+
+def measure(seed: int) -> reports.Report:
+    """Measure spread with processes, and sizes with made-up rules.
+
+    :param seed: Seed of the made-up rules.
+    """
+    figures: dict[str, float] = {}
+    for nodes in NODES:
+        figures.update(_measure_spread(nodes))
+    first, last = NODES[0], NODES[-1]
+    rise_s = (
+        figures[f'in_force_max_s_{last}'] - figures[f'in_force_max_s_{first}']
+    )
+    figures['in_force_slope_s_per_node'] = rise_s / (last - first)
+    for organisations in ORGANISATIONS:
+        figures.update(_measure_sizes(organisations, seed))
+    targets = [
+        reports.Target(f'in_force_max_s_{last}', at_most=SPREAD_TARGET_S),
+        reports.Target(f'lost_or_reverted_{last}', at_most=0),
+        reports.Target('snapshot_bytes_5800', at_most=VALUE_TARGET_BYTES),
+    ]
+    baseline = {
+        f'delta_bytes_{count}': figures[f'text_bytes_{count}']
+        for count in ORGANISATIONS
+    }
+    return reports.Report(
+        'configuration',
+        seed,
+        figures,
+        baseline=baseline,
+        targets=targets,
+    )
+
+
+def _measure_spread(nodes: int) -> dict[str, float]:
+    entries = nodes // 3
+    data_centres = ('levis-nord', 'levis-sud', 'charny')
+    site = sites.Site('qc-est', data_centres, entries, {}, _RULES)
+    with tempfile.TemporaryDirectory() as directory:
+        running = fleet.Fleet(pathlib.Path(directory), site)
+        try:
+            running.start()
+            return _spread(running)
+        finally:
+            running.processes.stop()
+
+
+def _spread(running: fleet.Fleet) -> dict[str, float]:
+    count = len(running.listed)
+    before = _usage(running)
+    started_s = time.perf_counter()
+    times_s = [_change(running, number) for number in range(2, CHANGES + 2)]
+    lasted_s = time.perf_counter() - started_s
+    after = _usage(running)
+    time.sleep(REST_S)
+    rested = _usage(running)
+    rest_calls_per_s = (rested.calls - after.calls) / REST_S
+    rest_bytes_per_s = (rested.bytes - after.bytes) / REST_S
+    calls = after.calls - before.calls - rest_calls_per_s * lasted_s
+    passed_bytes = after.bytes - before.bytes - rest_bytes_per_s * lasted_s
+    return {
+        f'in_force_median_s_{count}': sorted(times_s)[CHANGES // 2],
+        f'in_force_max_s_{count}': max(times_s),
+        f'lost_or_reverted_{count}': _lost(running),
+        f'platform_calls_per_change_{count}': calls / CHANGES,
+        f'platform_bytes_per_change_{count}': passed_bytes / CHANGES,
+        f'platform_rest_calls_per_s_{count}': rest_calls_per_s,
+    }
+
+
+def _lost(running: fleet.Fleet) -> int:
+    """Return how many processes lack the last revision or a change."""
+    last = CHANGES + 1
+    found = _revisions(running)
+    client = platform.PlatformClient([running.key_value_address])
+    trail = curio.run(configuration_store.history, client, last)
+    kept = [change.revision for change in trail]
+    missing = len(set(range(1, last + 1)).difference(kept))
+    return missing + len(found) - found.count(last)
+
+
+def _change(running: fleet.Fleet, revision: int) -> float:
+    """Apply a change; return the time from its acceptance to all nodes.
+
+    It counts from the audit entry's time, just before the acceptance.
+    """
+    text = running.rules_path.read_text(encoding='utf-8')
+    line = f'organisation name=yard-{revision} in_flight=4  # measures\n'
+    running.rules_path.write_text(text + line, encoding='utf-8')
+    applying = threading.Thread(target=running.apply)
+    applying.start()
+    deadline_s = time.monotonic() + LIMIT_S
+    while min(_revisions(running)) < revision:
+        if time.monotonic() > deadline_s:
+            raise loopback.WaitError(f'revision {revision} does not spread')
+        time.sleep(POLL_S)
+    everywhere_s = time.time()
+    applying.join()
+    client = platform.PlatformClient([running.key_value_address])
+    trail = curio.run(configuration_store.history, client, 1)
+    return everywhere_s - trail[0].at_epoch_s
+
+
+def _revisions(running: fleet.Fleet) -> list[int]:
+    return curio.run(_ask_all, running.listed)
+
+
+async def _ask_all(listed: list[vms.Vm]) -> list[int]:
+    group = curio.TaskGroup()
+    async with group:
+        for vm in listed:
+            await group.spawn(_ask, vm)
+    return list(group.results)
+
+
+async def _ask(vm: vms.Vm) -> int:
+    address = settings.split_address(vm.peers_address)
+    request = messages.StatusRequest()
+    try:
+        reply = await peers.call(address, None, request, STATUS_LIMIT_S)
+    except links.LinkError:
+        return 0
+    return reply.revision if isinstance(reply, messages.NodeStatus) else 0
+
+
+@attrs.define
+class _Usage:
+    calls: int
+    bytes: int
+
+
+def _usage(running: fleet.Fleet) -> _Usage:
+    answer = loopback.http_call(running.key_value_address, '/faults')
+    usage = json.loads(answer.body)
+    passed_bytes = usage['received_bytes'] + usage['sent_bytes']
+    return _Usage(sum(usage['calls'].values()), passed_bytes)
+
+
+def _rules(organisations: int, seed: int) -> str:
+    generator = random.Random(seed)
+    lines = [_RULES.rstrip()]
+    for model in range(MODELS):
+        service = f'service-{model:02}'
+        limits = 'kind=engine in_flight=16 cold_in_flight=2'
+        lines.append(f'service name={service} {limits}  # platform team')
+        lines.append(f'model name=model-{model:02} service={service}  # same')
+    for number in range(organisations):
+        lines.append(_organisation(number, generator))
+    return '\n'.join([*lines, ''])
+
+
+def _organisation(number: int, generator: random.Random) -> str:
+    in_flight = generator.randint(1, 400)
+    priority = generator.choice(('low', 'normal', 'high'))
+    ticket = generator.randint(10000, 99999)
+    return (
+        f'organisation name=organisation-{number:05} in_flight={in_flight}'
+        f' priority={priority}  # ticket {ticket}, contract desk'
+    )
+
+
+def _measure_sizes(organisations: int, seed: int) -> dict[str, float]:
+    text = _rules(organisations, seed)
+    current = configuration.Configuration(1, '0' * 32, text)
+    snapshot = configuration_values.encode_snapshot(current)
+    line = 'organisation name=one-more in_flight=4  # measures\n'
+    started_s = time.process_time()
+    change = changes.describe(
+        changes.Text(1, text),
+        changes.Text(2, text + line),
+        '1' * 32,
+        AUTHOR,
+    )
+    delta_s = time.process_time() - started_s
+    started_s = time.process_time()
+    rule_reader.read(text)
+    parse_s = time.process_time() - started_s
+    tracemalloc.start()
+    reading = rule_reader.read(text)
+    kept_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if reading.faults:
+        raise loopback.WaitError(str(reading.faults[0]))
+    return {
+        f'text_bytes_{organisations}': len(text.encode()),
+        f'snapshot_bytes_{organisations}': len(snapshot),
+        f'delta_bytes_{organisations}': len(msgspec.json.encode(change)),
+        f'delta_ms_{organisations}': delta_s * MS_IN_S,
+        f'parse_ms_{organisations}': parse_s * MS_IN_S,
+        f'rules_kept_mib_{organisations}': kept_bytes / MIB,
+        f'parse_peak_mib_{organisations}': peak_bytes / MIB,
+    }
--- a/measures/expert_runs.py
+++ b/measures/expert_runs.py
@@ -13,7 +13,7 @@
 from measures import expert_day, full_replan
 
 EXPERT_BYTES = 44_000_000
-BUDGET_BYTES = 6 * EXPERT_BYTES
+BUDGET_BYTES = 8 * EXPERT_BYTES
 RANKS_PER_VM = 8
 WORKERS = 6
 BOUND_INTERVALS = 60
--- /dev/null
+++ b/measures/overload.py
@@ -0,0 +1,226 @@
+"""Useful answers and fairness when more comes than the endpoints bear.
+
+Simulated time over the real choice, retry budget and admission. An endpoint
+runs ``LIMIT`` requests at full speed; more share that speed.
+"""
+
+import itertools
+import random
+from collections import abc
+
+import attrs
+
+from camphorstair_core import admission, choice, endpoints, retries
+from measures import reports, simulated_fleet
+
+ENTRIES = 4
+AGENTS = 12
+SERVICE_S = 1.0
+DEADLINE_S = 4.0
+TICK_S = 0.02
+WARM_UP_S = 5.0
+PHASE_S = 20.0
+AFTER_S = 15.0
+AFTER_FACTOR = 0.8
+LARGE = 3
+SMALL = 12
+SMALL_SHARE = 0.02
+CAPACITY = AGENTS * simulated_fleet.LIMIT / SERVICE_S
+FACTORS = (0.5, 1.0, 2.0, 4.0)
+
+
+@attrs.define(eq=False)
+class Work:
+    """A request that an endpoint runs."""
+
+    organisation: int
+    deadline_s: float
+    left_s: float
+    entry: simulated_fleet.Entry | None = None
+    row: endpoints.Endpoint | None = None
+    generation: int = 0
+
+
+@attrs.define
+class Fleet:
+    """The simulated fleet.
+
+    :ivar limited: Whether admission and choice are on; else round robin.
+    """
+
+    generator: random.Random
+    limited: bool
+    entries: list[simulated_fleet.Entry]
+    gates: dict[str, admission.Admission]
+    running: dict[str, list[Work]]
+    turn: abc.Iterator[str]
+    now_s: float = 0
+    useful: dict[int, int] = attrs.field(factory=dict)
+
+    def arrive(self, organisation: int) -> None:
+        """Let a request come to some entry."""
+        left_s = self.generator.uniform(0.5, 1.5) * SERVICE_S
+        work = Work(organisation, self.now_s + DEADLINE_S, left_s)
+        if self.limited:
+            self._forward(work)
+        else:
+            self.running[next(self.turn)].append(work)
+
+    def tick(self) -> None:
+        """Let all endpoints work for one tick."""
+        self.now_s += TICK_S
+        for name, works in self.running.items():
+            speed = min(1, simulated_fleet.LIMIT / max(1, len(works)))
+            for work in works:
+                work.left_s -= TICK_S * speed
+            self.running[name] = [one for one in works if one.left_s > 0]
+            for done in filter(_is_done, works):
+                self._finish(name, done)
+
+    def _forward(self, work: Work) -> None:
+        entry = self.generator.choice(self.entries)
+        in_flight = sum(row.own_in_flight for row in entry.table.rows.values())
+        retries.note_request(entry.budget, in_flight)
+        wish = choice.Wish(simulated_fleet.SERVICE)
+        for _ in range(retries.MAX_ATTEMPTS):
+            row = entry.choose(wish, self.now_s, self.generator)
+            if row is None or self._admit(entry, row, work):
+                return
+            wish.tried.add(row.vm.name)
+            if not retries.take(entry.budget):
+                return
+
+    def _admit(
+        self,
+        entry: simulated_fleet.Entry,
+        row: endpoints.Endpoint,
+        work: Work,
+    ) -> bool:
+        gate = self.gates[row.vm.name]
+        admitted = admission.refusal(gate) is None
+        if admitted:
+            work.generation = admission.start(gate)
+            row.own_in_flight += 1
+            work.entry = entry
+            work.row = row
+            self.running[row.vm.name].append(work)
+        endpoints.note_load(row, gate.load(), self.now_s)
+        return admitted
+
+    def _finish(self, name: str, work: Work) -> None:
+        if self.now_s <= work.deadline_s:
+            count = self.useful.get(work.organisation, 0)
+            self.useful[work.organisation] = count + 1
+        if work.row is not None:
+            gate = self.gates[name]
+            admission.finish(
+                gate,
+                work.generation,
+                admission.Outcome.whole,
+                self.now_s,
+            )
+            work.row.own_in_flight -= 1
+            endpoints.note_load(work.row, gate.load(), self.now_s)
+
+
+def measure(seed: int) -> reports.Report:
+    """Measure useful answers a second at several loads."""
+    figures = _figures(seed, limited=True)
+    baseline = _figures(seed, limited=False)
+    targets = [
+        reports.Target('useful_share_2x', at_least=0.95),
+        reports.Target('useful_share_4x', at_least=0.95),
+        reports.Target('fairness_2x', at_least=0.95),
+        reports.Target('fairness_4x', at_least=0.95),
+    ]
+    return reports.Report('overload', seed, figures, baseline, targets)
+
+
+def _is_done(work: Work) -> bool:
+    return work.left_s <= 0
+
+
+def jain(shares: list[float]) -> float:
+    """Return Jain's index of fairness."""
+    squares = sum(share * share for share in shares)
+    if not squares:
+        return 0
+    return sum(shares) ** 2 / (len(shares) * squares)
+
+
+def fair_shares(demands: list[float], capacity: float) -> list[float]:
+    """Return the max-min fair shares of a capacity."""
+    shares = list(demands)
+    left = capacity
+    order = sorted(range(len(demands)), key=demands.__getitem__)
+    for done, place in enumerate(order):
+        shares[place] = min(demands[place], left / (len(demands) - done))
+        left -= shares[place]
+    return shares
+
+
+def _figures(seed: int, *, limited: bool) -> dict[str, float]:
+    figures = {}
+    useful = {}
+    for factor in FACTORS:
+        fleet = _make(seed, limited=limited)
+        name = f'{factor:g}x'
+        rates = _run(fleet, factor, WARM_UP_S, PHASE_S)
+        useful[name] = sum(rates)
+        figures[f'useful_per_s_{name}'] = useful[name]
+        fair = fair_shares(_demands(factor), CAPACITY)
+        ratios = [got / due for got, due in zip(rates, fair, strict=True)]
+        figures[f'fairness_{name}'] = jain(ratios)
+        after = sum(_run(fleet, AFTER_FACTOR, WARM_UP_S, AFTER_S))
+        share = after / (AFTER_FACTOR * CAPACITY)
+        figures[f'useful_share_after_{name}'] = share
+    for name, per_s in useful.items():
+        figures[f'useful_share_{name}'] = per_s / useful['1x']
+    return figures
+
+
+def _make(seed: int, *, limited: bool) -> Fleet:
+    listed = simulated_fleet.vm_list(ENTRIES, AGENTS)
+    names = [vm.name for vm in listed if vm.service]
+    gates = {name: simulated_fleet.warm_gate() for name in names}
+    return Fleet(
+        random.Random(seed),
+        limited,
+        simulated_fleet.make_entries(listed),
+        gates,
+        {name: [] for name in names},
+        itertools.cycle(names),
+    )
+
+
+def _demands(factor: float) -> list[float]:
+    """Return the requests a second of each organisation, small ones last."""
+    small = SMALL_SHARE * CAPACITY
+    total = factor * CAPACITY
+    large = (total - small * SMALL) / LARGE
+    return [*(large for _ in range(LARGE)), *(small for _ in range(SMALL))]
+
+
+def _run(
+    fleet: Fleet,
+    factor: float,
+    warm_up_s: float,
+    phase_s: float,
+) -> list[float]:
+    """Return the useful answers a second by organisation after a warm-up."""
+    demands = _demands(factor)
+    for _ in range(round(warm_up_s / TICK_S)):
+        _step(fleet, demands)
+    fleet.useful.clear()
+    for _ in range(round(phase_s / TICK_S)):
+        _step(fleet, demands)
+    return [fleet.useful.get(one, 0) / phase_s for one in range(len(demands))]
+
+
+def _step(fleet: Fleet, demands: list[float]) -> None:
+    wait_s = fleet.generator.expovariate(sum(demands))
+    while wait_s < TICK_S:
+        organisation = fleet.generator.choices(range(len(demands)), demands)
+        fleet.arrive(organisation[0])
+        wait_s += fleet.generator.expovariate(sum(demands))
+    fleet.tick()
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -1,5 +1,6 @@
 """Runs the agent."""
 
+import functools
 import logging
 import pathlib
 import random
@@ -8,11 +9,20 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, endpoint_watch, keyed, relay, turns
-from camphorstair_core import admission, ownership, vms
+from camphorstair_agent import (
+    claiming,
+    endpoint_watch,
+    keyed,
+    orders,
+    relay,
+    turns,
+)
+from camphorstair_core import admission, ownership, returning, vms
 from camphorstair_runtime import (
     announcing,
+    clocks,
     following,
+    leases,
     logs,
     metrics,
     node,
@@ -34,6 +44,7 @@
     checked: settings.AgentSettings
     state: node.NodeState
     gate: admission.Admission
+    outage: returning.Outage = attrs.field(factory=returning.Outage)
 
     def refresh(self) -> None:
         """Take over the limits and outages of the rules in force."""
@@ -51,6 +62,13 @@
             name in rule_set.endpoints_out
             or self.state.identity.data_centre in rule_set.data_centres_out
         )
+        begins_cold = returning.note_outage(
+            self.outage,
+            out=self.gate.out,
+            now_s=clocks.monotonic_s(),
+        )
+        if begins_cold:
+            admission.become_cold(self.gate)
         self.state.load = self.gate.load()
 
 
@@ -79,6 +97,7 @@
         agent.state,
         checked.endpoint.service,
         runner.run,
+        answer_order=_order_gate(checked, client).answer,
     )
     follower = following.Follower(
         agent.state,
@@ -105,6 +124,16 @@
         await group.cancel_remaining()
 
 
+def _order_gate(
+    checked: settings.AgentSettings,
+    client: platform.PlatformClient,
+) -> orders.OrderGate:
+    read_number = functools.partial(leases.current_fencing, client)
+    address = checked.endpoint.address
+    exchange = functools.partial(orders.exchange_with, address)
+    return orders.OrderGate(exchange, read_number)
+
+
 def _relay(agent: Agent) -> relay.Relay:
     checked = agent.checked
     instruments = metrics.set_up(checked.node.name)
--- /dev/null
+++ b/packages/core/src/camphorstair_core/ejection.py
@@ -0,0 +1,98 @@
+"""Ejects endpoints that fail or are slow, up to a share of a service."""
+
+import statistics
+
+from camphorstair_core import endpoints, subsets
+
+EJECTION_S = 5.0
+LONGEST_EJECTION_S = 60.0
+LARGEST_SHARE = 0.5
+SLOW_FACTOR = 3.0
+SLOW_FLOOR_S = 0.2
+LEAST_SAMPLES = 8
+_NEW_WEIGHT = 0.2
+
+
+def note_failure(
+    endpoint: endpoints.Endpoint,
+    peers: list[endpoints.Endpoint],
+    now_s: float,
+) -> bool:
+    """Count a failed attempt and eject the endpoint if that is allowed.
+
+    :param endpoint: The endpoint.
+    :param peers: The endpoints of its service, this one among them.
+    :param now_s: The time.
+    :returns: Whether it was ejected.
+    """
+    endpoint.failures += 1
+    return _eject(endpoint, peers, now_s)
+
+
+def note_success(endpoint: endpoints.Endpoint, first_part_s: float) -> None:
+    """Note a whole answer and the time until its first part."""
+    endpoint.failures = 0
+    if endpoint.samples:
+        gap_s = first_part_s - endpoint.first_part_s
+        endpoint.first_part_s += gap_s * _NEW_WEIGHT
+    else:
+        endpoint.first_part_s = first_part_s
+    endpoint.samples += 1
+
+
+def eject_slow(
+    endpoint: endpoints.Endpoint,
+    peers: list[endpoints.Endpoint],
+    now_s: float,
+) -> bool:
+    """Eject an endpoint whose first parts come much later than its peers'.
+
+    :returns: Whether it was ejected.
+    """
+    if endpoint.samples < LEAST_SAMPLES:
+        return False
+    measured = [
+        row.first_part_s for row in peers if row.samples >= LEAST_SAMPLES
+    ]
+    usual_s = statistics.median_low(measured)
+    if endpoint.first_part_s <= max(SLOW_FLOOR_S, usual_s * SLOW_FACTOR):
+        return False
+    endpoint.samples = 0
+    return _eject(endpoint, peers, now_s)
+
+
+def note_result(
+    endpoint: endpoints.Endpoint,
+    subset: subsets.Subset | None,
+    first_part_s: float | None,
+    now_s: float,
+) -> bool:
+    """Note how an attempt ended.
+
+    :param endpoint: The endpoint.
+    :param subset: The subset of its service, if it is in one.
+    :param first_part_s: Time until the first part, or None after a failure.
+    :param now_s: The time.
+    :returns: Whether the endpoint was ejected.
+    """
+    peers = subset.rows() if subset else [endpoint]
+    if first_part_s is None:
+        return note_failure(endpoint, peers, now_s)
+    note_success(endpoint, first_part_s)
+    return eject_slow(endpoint, peers, now_s)
+
+
+def _eject(
+    endpoint: endpoints.Endpoint,
+    peers: list[endpoints.Endpoint],
+    now_s: float,
+) -> bool:
+    ejected = sum(
+        row.ejected_deadline_s > now_s for row in peers if row is not endpoint
+    )
+    if ejected + 1 > len(peers) * LARGEST_SHARE:
+        return False
+    doublings = max(0, endpoint.failures - 1)
+    duration_s = min(EJECTION_S * 2**doublings, LONGEST_EJECTION_S)
+    endpoint.ejected_deadline_s = now_s + duration_s
+    return True
--- a/packages/core/src/camphorstair_core/endpoints.py
+++ b/packages/core/src/camphorstair_core/endpoints.py
@@ -1,13 +1,11 @@
 """The entry's table of endpoints and the systems that run over it."""
 
-import random
 from collections import abc
 
 import attrs
 
 from camphorstair_core import errors, keys, messages, returning, rules, vms
 
-EJECTION_S = 5.0
 LOAD_AGE_LIMIT_S = 2.0
 NONE_LEAVING: abc.Set[str] = frozenset()
 
@@ -20,6 +18,9 @@
     :ivar load: The last load that its agent reported.
     :ivar load_deadline_s: When that report is too old to count.
     :ivar heard_s: When its agent last sent a load or a heartbeat.
+    :ivar seed: Stands for its name in weights of prefixes.
+    :ivar samples: Answers since it was last ejected.
+    :ivar first_part_s: Mean time to their first parts, new ones counting more.
     :ivar own_in_flight: Requests of this entry that it works on.
     :ivar failures: Failed attempts since the last that went well.
     :ivar ejected_deadline_s: Until when it is not chosen.
@@ -35,21 +36,39 @@
     failures: int = 0
     ejected_deadline_s: float = 0
     heard_s: float = 0
+    samples: int = 0
+    first_part_s: float = 0
     leaving: bool = False
     out: bool = False
     ramp_deadline_s: float = 0
+    seed: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hash the name once."""
+        self.seed = vms.rank('prefix', self.vm.name)
 
     def available(self, now_s: float) -> bool:
         """Tell whether new work may go to the endpoint."""
-        gone = self.leaving or self.out
-        return not gone and now_s >= self.ejected_deadline_s
+        if self.leaving or self.out:
+            return False
+        return now_s >= self.ejected_deadline_s
 
     def pressure(self, now_s: float) -> float:
         """Return its load as a share of its limit, own requests included."""
         in_flight = self.own_in_flight
+        load = self.load
         if now_s < self.load_deadline_s:
-            in_flight = max(in_flight, self.load.in_flight + self.load.queued)
-        return (in_flight + 1) / max(1, self.load.limit)
+            reported = load.in_flight + load.queued
+            in_flight = max(in_flight, reported)
+        return (in_flight + 1) / (load.limit or 1)
+
+
+@attrs.define
+class Candidate:
+    """An endpoint that may be chosen, and its load as a share of its limit."""
+
+    row: Endpoint
+    pressure: float
 
 
 @attrs.define
@@ -109,39 +128,6 @@
         row.out = data_centre in out or listed_out
 
 
-def choose(
-    table: EndpointTable,
-    service: str,
-    tried: set[str],
-    now_s: float,
-    generator: random.Random,
-) -> Endpoint | None:
-    """Choose an endpoint by the power of two choices.
-
-    :param table: The table.
-    :param service: The service that the request is for.
-    :param tried: Names of endpoints that refused this request.
-    :param now_s: The time.
-    :param generator: Source of the two picks.
-    :returns: The endpoint, or None if none is available.
-    """
-    candidates = [
-        row
-        for row in table.of_service(service)
-        if row.available(now_s) and row.vm.name not in tried
-    ]
-    if not candidates:
-        return None
-    admitted = [
-        row
-        for row in candidates
-        if returning.admits(row.ramp_deadline_s, now_s, generator)
-    ]
-    candidates = admitted or candidates
-    picked = generator.sample(candidates, min(2, len(candidates)))
-    return min(picked, key=lambda row: row.pressure(now_s))
-
-
 def choose_owner(
     table: EndpointTable,
     start: messages.RequestStart,
@@ -178,14 +164,3 @@
     endpoint.load = load
     endpoint.heard_s = now_s
     endpoint.load_deadline_s = now_s + LOAD_AGE_LIMIT_S
-
-
-def note_success(endpoint: Endpoint) -> None:
-    """Forget earlier failures after an answer that went well."""
-    endpoint.failures = 0
-
-
-def note_failure(endpoint: Endpoint, now_s: float) -> None:
-    """Eject an endpoint for a while after a failed attempt."""
-    endpoint.failures += 1
-    endpoint.ejected_deadline_s = now_s + EJECTION_S
--- a/packages/core/src/camphorstair_core/experts/moves.py
+++ b/packages/core/src/camphorstair_core/experts/moves.py
@@ -9,7 +9,7 @@
 
 EXPERTS_TRIED = 2
 RANKS_TRIED = 2
-TRIAL_SWEEPS = 2
+TRIAL_SWEEPS = 3
 FOLLOWING_SWEEPS = 8
 
 SAME_VM_COST = 0.9
--- a/packages/core/src/camphorstair_core/messages.py
+++ b/packages/core/src/camphorstair_core/messages.py
@@ -11,6 +11,7 @@
 from camphorstair_core import (
     changes,
     membership_messages,
+    order_messages,
     verdicts,
     vm_lists,
     vms,
@@ -193,6 +194,8 @@
     :ivar role: ``entry`` or ``agent``.
     :ivar service: The service behind an agent, else empty.
     :ivar refused: Why it refused a newer configuration, else empty.
+    :ivar control_bytes: Bytes sent and received since its start for all but
+        requests and answers, without headers of TCP and IP.
     """
 
     node: str
@@ -205,6 +208,7 @@
     memory_bytes: int = 0
     processor_s: float = 0
     refused: str = ''
+    control_bytes: int = 0
 
 
 @attrs.define
@@ -249,5 +253,9 @@
         50: membership_messages.Heartbeat,
         51: membership_messages.Leaving,
         52: membership_messages.LeavingReply,
+        60: order_messages.FenceRequest,
+        61: order_messages.FenceReply,
+        62: order_messages.Order,
+        63: order_messages.OrderReply,
     },
 )
--- a/packages/core/src/camphorstair_core/returning.py
+++ b/packages/core/src/camphorstair_core/returning.py
@@ -1,4 +1,7 @@
-"""A data centre that returns gets a share of new work that rises slowly."""
+"""A data centre that returns gets a share of new work that rises slowly.
+
+Entries reduce the share; the agents there begin cold if they were out for long.
+"""
 
 import random
 
@@ -6,6 +9,7 @@
 
 RAMP_S = 20.0
 FIRST_SHARE = 0.1
+WARM_S = 30.0
 
 
 @attrs.define
@@ -69,3 +73,31 @@
     if now_s >= ramp_deadline_s:
         return True
     return generator.random() < share(ramp_deadline_s, now_s)
+
+
+@attrs.define
+class Outage:
+    """Whether the rules take an endpoint out, as its agent sees it.
+
+    :ivar out: Whether they do.
+    :ivar warm_deadline_s: Until when the endpoint counts as warm although it
+        gets no work.
+    """
+
+    out: bool = False
+    warm_deadline_s: float = 0
+
+
+def note_outage(outage: Outage, *, out: bool, now_s: float) -> bool:
+    """Take over whether the rules take an endpoint out.
+
+    :param outage: The state.
+    :param out: Whether the rules in force do.
+    :param now_s: The time.
+    :returns: Whether it comes back and has to begin cold.
+    """
+    if out and not outage.out:
+        outage.warm_deadline_s = now_s + WARM_S
+    returns = outage.out and not out
+    outage.out = out
+    return returns and now_s >= outage.warm_deadline_s
--- a/packages/entry/src/camphorstair/acceptance.py
+++ b/packages/entry/src/camphorstair/acceptance.py
@@ -6,6 +6,7 @@
 
 import enum
 import uuid
+from collections import abc
 
 import attrs
 import curio
@@ -18,10 +19,12 @@
 )
 
 SETTLE_TRIES = 4
-WRITE_TRIES = 3
 SETTLE_INTERVAL_S = 1.0
 
 
+AskHighest = abc.Callable[[], abc.Awaitable[int]]
+
+
 class Outcome(enum.StrEnum):
     """What is known of a write."""
 
@@ -131,28 +134,23 @@
     return Plan(stored, newest, change)
 
 
-async def accept(client: platform.PlatformClient, plan: Plan) -> None:
+async def accept(
+    client: platform.PlatformClient,
+    plan: Plan,
+    ask_highest: AskHighest,
+) -> bool:
     """Accept a change.
 
-    A write that was certainly not done, while the revision it was made from
-    is still the newest, is tried again on the head as it is now.
+    The client's session must last since the head of the plan was read, so
+    that the platform has not come back with an older copy in between.
 
-    :raises ConflictError: if another change came first; nothing is written.
+    :param client: The platform.
+    :param plan: The change.
+    :param ask_highest: Asks the processes for the highest revision in force.
+    :returns: Whether it was accepted; if not, it never will be.
     :raises UnknownOutcomeError: if it can't be known.
     :raises configuration_values.TooLargeError: if a value is too large.
     """
-    for _ in range(WRITE_TRIES):
-        if await _write(client, plan):
-            return
-        found = await configuration_store.read_head(client)
-        if found.head != plan.stored.found.head and found.revision():
-            break
-        stored = configuration_store.Stored(plan.stored.current, found)
-        plan = attrs.evolve(plan, stored=stored)
-    raise await conflict(client, plan.stored.found.revision())
-
-
-async def _write(client: platform.PlatformClient, plan: Plan) -> bool:
     try:
         return await configuration_store.write(
             client,
@@ -161,7 +159,10 @@
             plan.change,
         )
     except platform.PlatformError as failure:
-        return await _settle(client, plan, str(failure))
+        await client.end_session()
+        if not failure.sent:
+            return False
+        return await _settle(client, plan, ask_highest, str(failure))
 
 
 async def conflict(
@@ -191,6 +192,7 @@
 async def _settle(
     client: platform.PlatformClient,
     plan: Plan,
+    ask_highest: AskHighest,
     reason: str,
 ) -> bool:
     """Find out whether a write without an answer was done.
@@ -203,7 +205,7 @@
         if attempt:
             await curio.sleep(SETTLE_INTERVAL_S)
         try:
-            outcome = await _read_back(client, plan)
+            outcome = await _read_back(client, plan, ask_highest)
         except (platform.PlatformError, configuration_values.StoreError):
             continue
         if outcome is not Outcome.unknown:
@@ -214,33 +216,23 @@
 async def _read_back(
     client: platform.PlatformClient,
     plan: Plan,
+    ask_highest: AskHighest,
 ) -> Outcome:
     revision = plan.changed.revision
     found = await configuration_store.read_head(client)
-    if found.mod_revision == plan.stored.found.mod_revision:
-        # The write may still be on its way: a touched head keeps it out.
-        if await configuration_store.touch(client, found):
-            return Outcome.not_accepted
-        return Outcome.unknown
     if found.head is not None and found.revision() >= revision:
         change = await configuration_store.read_change(client, revision)
         if change is None:
             return Outcome.unknown
-        if change.change_id == plan.changed.change_id:
-            return Outcome.accepted
-        return Outcome.not_accepted
-    return _lower_head(plan, found)
-
-
-def _lower_head(
-    plan: Plan,
-    found: configuration_values.StoredHead,
-) -> Outcome:
-    """Judge a head that was written but is below the revision wanted.
-
-    A touched head of the base revision excludes the write; a lower one is an
-    older copy, and what was in the newer one is not known.
-    """
-    same = found.revision() == plan.stored.found.revision()
-    newer = found.mod_revision > plan.stored.found.mod_revision
-    return Outcome.not_accepted if same and newer else Outcome.unknown
+        mine = change.change_id == plan.changed.change_id
+        return Outcome.accepted if mine else Outcome.not_accepted
+    if found != plan.stored.found:
+        # The platform came back with a copy older than the one read.
+        return Outcome.unknown
+    # The write may still be on its way: a touched head keeps it out.
+    if not await configuration_store.touch(client, found):
+        return Outcome.unknown
+    # It may have been done in what an older copy has replaced.
+    if await ask_highest() >= revision:
+        return Outcome.unknown
+    return Outcome.not_accepted
--- a/packages/entry/src/camphorstair/applying.py
+++ b/packages/entry/src/camphorstair/applying.py
@@ -1,23 +1,16 @@
 """Accepts a rules file and waits until all processes have it."""
 
-import getpass
+import functools
 import pathlib
-import time
 from collections import abc
 
 import attrs
 import curio
 
-from camphorstair import acceptance, operators, rules_file
-from camphorstair_core import changes, configuration, messages
-from camphorstair_runtime import (
-    configuration_store,
-    configuration_values,
-    platform,
-    vm_list,
-)
+from camphorstair import acceptance, operators, restoring, rules_file
+from camphorstair_runtime import platform
 
-COPY_LIMIT_S = 5.0
+ACCEPT_TRIES = 3
 SPREAD_LIMIT_S = 15.0
 SPREAD_INTERVAL_S = 0.2
 
@@ -71,6 +64,20 @@
     changed: bool = True
 
 
+@attrs.define
+class Attempt:
+    """What an apply works with.
+
+    :ivar base_revision: The revision that the text was made from, if known.
+    """
+
+    fleet: operators.Fleet
+    client: platform.PlatformClient
+    reports: Reports
+    text: str
+    base_revision: int | None
+
+
 async def apply(
     fleet: operators.Fleet,
     path: pathlib.Path,
@@ -92,29 +99,49 @@
         is changed.
     """
     text = rules_file.read(path)
-    client = fleet.client()
-    stored = await newest(fleet, client, reports)
-    author = changes.Author(_operator_name(), time.time())
-    plan = acceptance.prepare(stored, text, author)
-    lines = plan.change.changed_lines()
-    reports.difference(lines)
     if base_revision is None:
         base_revision = rules_file.noted_base(path)
-    revision = stored.found.revision()
-    if lines:
-        await _refuse_stale(client, plan, base_revision)
-        await acceptance.accept(client, plan)
-        revision = plan.changed.revision
+    client = fleet.client()
+    revision, changed = await _accept(
+        Attempt(fleet, client, reports, text, base_revision),
+    )
+    await client.end_session()
     rules_file.note_base(path, revision)
     answers = await _wait_spread(fleet, revision, reports)
     return Applied(
         revision,
         answers.lacking(revision),
         answers.silent,
-        bool(lines),
+        changed,
     )
 
 
+async def _accept(attempt: Attempt) -> tuple[int, bool]:
+    """Accept a text; the revision in force and whether it is a new one."""
+    client = attempt.client
+    ask = functools.partial(restoring.highest_in_force, attempt.fleet)
+    revision = 0
+    for _ in range(ACCEPT_TRIES):
+        await client.begin_session()
+        stored = await restoring.newest(
+            attempt.fleet,
+            client,
+            attempt.reports.warning,
+        )
+        revision = stored.found.revision()
+        plan = acceptance.prepare(stored, attempt.text, restoring.author())
+        lines = plan.change.changed_lines()
+        if not lines:
+            return revision, False
+        await _refuse_stale(client, plan, attempt.base_revision)
+        attempt.reports.difference(lines)
+        if await acceptance.accept(client, plan, ask):
+            return plan.changed.revision, True
+        # Certainly not done: only the same base is tried again.
+        attempt.base_revision = revision
+    raise acceptance.ConflictError(revision, ['the platform is busy'])
+
+
 async def _refuse_stale(
     client: platform.PlatformClient,
     plan: acceptance.Plan,
@@ -140,91 +167,6 @@
         )
 
 
-async def newest(
-    fleet: operators.Fleet,
-    client: platform.PlatformClient,
-    reports: Reports,
-) -> configuration_store.Stored:
-    """Return the newest configuration, and restore an older platform's copy.
-
-    :raises configuration_values.StoreError: if the platform's copy is corrupt
-        and no process has a newer one.
-    """
-    answers = await _ask_known(fleet, reports)
-    highest = max((one.revision for one in answers.found), default=0)
-    found = await _read_mod_revision(client)
-    try:
-        stored = await configuration_store.read(client)
-    except configuration_values.StoreError as fault:
-        reports.warning(f'the platform holds a corrupt copy: {fault}')
-    else:
-        if highest <= stored.found.revision():
-            return stored
-        found = stored.found
-        reports.warning(
-            f'the platform holds revision {found.revision()}, but {highest}'
-            ' is in force: it came back with an older copy; restoring it',
-        )
-    in_force = await _copy(fleet, answers)
-    return await _restore(client, found, in_force)
-
-
-async def _read_mod_revision(
-    client: platform.PlatformClient,
-) -> configuration_values.StoredHead:
-    raw = await client.get(configuration_values.HEAD_KEY)
-    return configuration_values.StoredHead(None, raw.mod_revision)
-
-
-async def _restore(
-    client: platform.PlatformClient,
-    found: configuration_values.StoredHead,
-    in_force: configuration.Configuration,
-) -> configuration_store.Stored:
-    author = changes.Author(_operator_name(), time.time())
-    plan = acceptance.prepare_repair(found, in_force, author)
-    await acceptance.accept(client, plan)
-    return await configuration_store.read(client)
-
-
-async def _ask_known(
-    fleet: operators.Fleet, reports: Reports
-) -> operators.Answers:
-    answers = await operators.ask_all(fleet)
-    if answers.silent and not answers.found:
-        reports.warning(
-            'no process answers: an older copy at the platform'
-            ' would not be noticed',
-        )
-    return answers
-
-
-async def _copy(
-    fleet: operators.Fleet,
-    answers: operators.Answers,
-) -> configuration.Configuration:
-    """Return the highest configuration in force at any process.
-
-    :raises configuration_values.StoreError: if no process has one.
-    """
-    listed = await vm_list.read(fleet.checked.platform.vm_list)
-    by_name = {vm.name: vm for vm in listed}
-    ordered = sorted(answers.found, key=lambda one: one.revision, reverse=True)
-    for node in ordered:
-        vm = by_name.get(node.node)
-        if vm is None or not node.revision:
-            continue
-        request = messages.ConfigurationRequest(0)
-        reply = await operators.call(fleet, vm, request, COPY_LIMIT_S)
-        if isinstance(reply, messages.ConfigurationReply) and reply.text:
-            return configuration.Configuration(
-                reply.revision,
-                reply.change_id,
-                reply.text,
-            )
-    raise configuration_values.StoreError('no process has a newer copy')
-
-
 async def _wait_spread(
     fleet: operators.Fleet,
     revision: int,
@@ -241,11 +183,3 @@
     for refusal in answers.refusals():
         reports.warning(refusal)
     return answers
-
-
-def _operator_name() -> str:
-    """Return the name of the user who runs the command."""
-    try:
-        return getpass.getuser()
-    except (OSError, KeyError):
-        return 'unknown'
--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at a request, on one endpoint."""
 
 import http
+import logging
 
 import attrs
 import curio
@@ -8,6 +9,7 @@
 from camphorstair import agent_errors, entry_state, receiving
 from camphorstair_core import (
     answers,
+    ejection,
     endpoints,
     errors,
     event_offsets,
@@ -22,6 +24,7 @@
     links,
 )
 
+_LOG = logging.getLogger(__name__)
 _EVENT_STREAM = 'text/event-stream'
 _MS_IN_S = 1000
 
@@ -51,8 +54,9 @@
     :ivar start: The request as it is sent.
     :ivar answer: What the caller has of the answer.
     :ivar progress: What has come of this attempt's answer.
-    :ivar sent: Whether the agent may have the request.
+    :ivar sent_s: When the request was sent to the agent; 0 if not yet.
     :ivar complete: Whether the exchange on the link is over.
+    :ivar first_part_s: Time until the first part of the answer's body came.
     """
 
     entry: entry_state.Entry
@@ -60,8 +64,9 @@
     start: messages.RequestStart
     answer: Answer
     progress: answers.AnswerProgress
-    sent: bool = False
+    sent_s: float = 0
     complete: bool = False
+    first_part_s: float = 0
 
     async def run(self) -> None:
         """Run the request and pass the answer on.
@@ -86,7 +91,7 @@
 
     def verdict(self) -> verdicts.Verdict:
         """Return what is known while no reply has come."""
-        if self.sent:
+        if self.sent_s:
             return verdicts.Verdict.may_have_run
         return verdicts.Verdict.not_run
 
@@ -102,7 +107,7 @@
 
     async def _open(self) -> links.Link:
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
             if keys.keyed(self.start):
@@ -113,23 +118,10 @@
                 verdicts.Verdict.not_run,
             ) from error
 
-    async def _open_checked(self) -> links.Link:
-        link = await self.entry.pool.take(self.endpoint.vm)
-        if self.start.idempotent:
-            return link
-        checked = False
-        try:
-            await receiving.check_alive(link, self.entry.state.hello())
-            checked = True
-        finally:
-            if not checked:
-                await link.close()
-        return link
-
     async def _open_again(self) -> links.Link:
         """Open a new link to the owner of a key; no other may answer."""
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             failure = self._failed(
                 errors.endpoint_failed,
@@ -158,7 +150,7 @@
             await watch.cancel()
 
     async def _exchange(self, receiver: receiving.Receiver) -> None:
-        self.sent = True
+        self.sent_s = clocks.monotonic_s()
         await receiver.link.send(self.start)
         head = await receiver.receive(receiving.first_limit_s(self.start))
         if isinstance(head, messages.RequestRefused):
@@ -172,7 +164,7 @@
             raise links.LinkError(f'unexpected {type(head).__name__}')
         self._note_load(head.load)
         await self._copy(receiver, head)
-        endpoints.note_success(self.endpoint)
+        _note_result(self, self.first_part_s)
 
     async def _copy(
         self,
@@ -243,6 +235,8 @@
         if not isinstance(part, messages.ResponseChunk):
             raise links.LinkError(f'unexpected {type(part).__name__}')
         answers.take_chunk(self.progress, part)
+        if first:
+            self.first_part_s = clocks.monotonic_s() - self.sent_s
         return part
 
     def _note_load(self, load: messages.LoadReport) -> None:
@@ -273,7 +267,7 @@
         message: str,
         verdict: verdicts.Verdict,
     ) -> errors.RequestError:
-        endpoints.note_failure(self.endpoint, clocks.monotonic_s())
+        _note_result(self, None)
         name = self.endpoint.vm.name
         return errors.RequestError(
             code,
@@ -285,3 +279,33 @@
 def _is_event_stream(head: messages.ResponseHead) -> bool:
     kind = http_messages.header(head.headers, 'content-type')
     return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
+
+
+async def _open_checked(
+    entry: entry_state.Entry,
+    endpoint: endpoints.Endpoint,
+    start: messages.RequestStart,
+) -> links.Link:
+    """Take a link; one for a non-idempotent request must answer first."""
+    link = await entry.pool.take(endpoint.vm)
+    if start.idempotent:
+        return link
+    checked = False
+    try:
+        await receiving.check_alive(link, entry.state.hello())
+        checked = True
+    finally:
+        if not checked:
+            await link.close()
+    return link
+
+
+def _note_result(attempt: Attempt, first_part_s: float | None) -> None:
+    """Note an answer or, without a time, a failure of the endpoint."""
+    entry = attempt.entry
+    endpoint = attempt.endpoint
+    subset = entry.subset_table.rows.get(attempt.start.service)
+    now_s = clocks.monotonic_s()
+    if ejection.note_result(endpoint, subset, first_part_s, now_s):
+        entry.instruments.ejections.add(1)
+        _LOG.warning('endpoint ejected', extra={'endpoint': endpoint.vm.name})
--- a/packages/entry/src/camphorstair/entry_state.py
+++ b/packages/entry/src/camphorstair/entry_state.py
@@ -5,7 +5,13 @@
 import attrs
 
 from camphorstair import link_pool
-from camphorstair_core import directory, endpoints, retries
+from camphorstair_core import (
+    affinity,
+    directory,
+    endpoints,
+    retries,
+    subsets,
+)
 from camphorstair_runtime import clocks, metrics, node, settings
 
 
@@ -22,6 +28,8 @@
     :ivar table: The endpoints.
     :ivar budget: The retries that may still be made after refusals.
     :ivar failure_budget: The retries that may still be made after failures.
+    :ivar subset_table: The endpoints that this entry sends to, by service.
+    :ivar hints: Where prefixes of prompts are thought to be cached.
     :ivar in_flight: Requests in progress by organisation.
     :ivar named: What it keeps of its directory answers.
     """
@@ -39,6 +47,8 @@
     failure_budget: retries.RetryBudget = attrs.field(
         factory=retries.RetryBudget,
     )
+    subset_table: subsets.SubsetTable = attrs.field(factory=subsets.SubsetTable)
+    hints: affinity.CacheHints = attrs.field(factory=affinity.CacheHints)
     in_flight: dict[str, int] = attrs.field(factory=dict)
     named: directory.Directory = attrs.field(init=False)
 
@@ -54,6 +64,9 @@
                 if self.state.members.leaving(name, now_s)
             },
         )
+        self.subset_table.entry = self.state.identity.name
+        self.subset_table.data_centre = self.state.identity.data_centre
+        subsets.update(self.subset_table, self.table, self.state.listed)
         endpoints.apply_rules(self.table, self.state.holder.rule_set, now_s)
 
     def requests_in_flight(self) -> int:
--- a/packages/entry/src/camphorstair/forwarding.py
+++ b/packages/entry/src/camphorstair/forwarding.py
@@ -7,12 +7,15 @@
 
 from camphorstair import attempts, entry_state
 from camphorstair_core import (
+    affinity,
     answers,
+    choice,
     endpoints,
     errors,
     keys,
     messages,
     retries,
+    routing,
     verdicts,
 )
 from camphorstair_runtime import clocks
@@ -35,6 +38,7 @@
     :ivar deadline_s: When the caller gives up, on the monotonic clock.
     :ivar tried: Names of endpoints that did not answer it.
     :ivar verdict: What is known of all attempts so far.
+    :ivar prefix: Number of the prompt's first part; 0 for none.
     :ivar attempt_count: Attempts so far.
     :ivar wait_deadline_s: Until when a broken answer waits for an endpoint.
     """
@@ -45,6 +49,7 @@
     deadline_s: float
     tried: set[str] = attrs.field(factory=set)
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
+    prefix: int = 0
     attempt_count: int = 0
     wait_deadline_s: float = 0
 
@@ -56,6 +61,8 @@
         in_flight = self.entry.requests_in_flight()
         retries.note_request(self.entry.budget, in_flight)
         retries.note_request(self.entry.failure_budget, in_flight)
+        if self.start.path == routing.COMPLETIONS_PATH:
+            self.prefix = affinity.prefix_key(self.start.body)
         failure: errors.RequestError | None = None
         while True:
             endpoint = await self._choose(failure)
@@ -64,6 +71,7 @@
             except errors.RequestError as error:
                 failure = error
             else:
+                self._note_cached(endpoint)
                 return
             self._check_retry(endpoint, failure)
 
@@ -118,14 +126,24 @@
         return endpoint
 
     def _pick(self) -> endpoints.Endpoint | None:
-        return endpoints.choose(
-            self.entry.table,
-            self.start.service,
-            self.tried,
+        wish = choice.Wish(self.start.service, self.tried, self.prefix)
+        return choice.choose(
+            self.entry.subset_table,
+            self.entry.hints,
+            wish,
             clocks.monotonic_s(),
             self.entry.generator,
         )
 
+    def _note_cached(self, endpoint: endpoints.Endpoint) -> None:
+        if self.prefix:
+            affinity.note_cached(
+                self.entry.hints,
+                self.prefix,
+                endpoint.vm.name,
+                clocks.monotonic_s(),
+            )
+
     def _may_wait(self) -> bool:
         """Tell whether a broken answer may wait for an endpoint.
 
--- a/packages/entry/src/camphorstair/operators.py
+++ b/packages/entry/src/camphorstair/operators.py
@@ -47,6 +47,10 @@
         """Return who answered and has not reported a revision."""
         return sorted(one.node for one in self.found if one.revision < revision)
 
+    def highest(self) -> int:
+        """Return the highest revision that was answered, or 0."""
+        return max((one.revision for one in self.found), default=0)
+
     def refusals(self) -> list[str]:
         """Return who refused a configuration, and why."""
         return [
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -7,7 +7,13 @@
 import h11
 import msgspec
 
-from camphorstair_runtime import http_messages, http_server, settings, sockets
+from camphorstair_runtime import (
+    http_messages,
+    http_server,
+    settings,
+    sockets,
+    traffic,
+)
 
 CONNECT_LIMIT_S = 2.0
 
@@ -94,6 +100,23 @@
     return exchange
 
 
+async def next_exchange(
+    exchange: Exchange,
+    address: str,
+    request: http_messages.Request,
+) -> None:
+    """Send another request on the connection of an answer that was read.
+
+    :raises HttpError: if the exchange fails before the answer's head.
+    """
+    try:
+        exchange.protocol.start_next_cycle()
+    except h11.LocalProtocolError as error:
+        raise HttpError(f'{address}: {error}', sent=False) from error
+    await _send(exchange, address, request)
+    await _read_head(exchange)
+
+
 async def fetch(
     address: str,
     request: http_messages.Request,
@@ -119,7 +142,9 @@
     method = 'GET' if payload is None else 'POST'
     headers = [('content-type', 'application/json')]
     request = http_messages.Request(method, target, headers, body)
-    return await fetch(address, request, context)
+    response = await fetch(address, request, context)
+    traffic.PROCESS.control_bytes += len(body) + len(response.body)
+    return response
 
 
 async def _connect(address: str, context: typing.Any) -> curio.io.Socket:
--- a/packages/runtime/src/camphorstair_runtime/leases.py
+++ b/packages/runtime/src/camphorstair_runtime/leases.py
@@ -151,6 +151,16 @@
         raise LeaseError(f'lease "{name}": {fault}') from fault
 
 
+async def current_fencing(client: platform.PlatformClient, name: str) -> int:
+    """Return the highest fencing number that a lease was ever held with.
+
+    :returns: The number; 0 if the lease was never held.
+    :raises platform.PlatformError: if the platform does not answer.
+    :raises LeaseError: if the counter is unreadable.
+    """
+    return _number(await client.get(_counter_key(name)))
+
+
 async def _take(
     client: platform.PlatformClient,
     key: str,
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from camphorstair_core import messages
-from camphorstair_runtime import sockets
+from camphorstair_runtime import sockets, traffic
 
 MAX_MESSAGE_BYTES = 16777216
 
@@ -25,6 +25,16 @@
 _NUMBERS = types.MappingProxyType(
     {kind: number for number, kind in messages.KINDS.items()},
 )
+_REQUEST_KINDS = frozenset(
+    (
+        messages.RequestStart,
+        messages.RequestRefused,
+        messages.ResponseHead,
+        messages.ResponseChunk,
+        messages.ResponseEnd,
+        messages.ResponseFailed,
+    ),
+)
 _DECODERS: abc.Mapping[int, msgspec.msgpack.Decoder[typing.Any]]
 _DECODERS = types.MappingProxyType(
     {
@@ -58,6 +68,11 @@
         raise LinkError(f'message of kind {number}: {error}') from error
 
 
+def _count(kind: type, size_bytes: int) -> None:
+    if kind not in _REQUEST_KINDS:
+        traffic.PROCESS.control_bytes += size_bytes
+
+
 @attrs.define
 class Link:
     """A connection to another process.
@@ -74,8 +89,10 @@
 
         :raises LinkError: if the connection is broken.
         """
+        encoded = encode(message)
+        _count(type(message), len(encoded))
         try:
-            await self.sock.sendall(encode(message))
+            await self.sock.sendall(encoded)
         except OSError as error:
             raise LinkError(f'send: {error}') from error
 
@@ -103,10 +120,11 @@
     async def wait_closed(self) -> None:
         """Return when the other side closes the connection.
 
-        To be called while no message is expected.
+        To be called while no message is expected. The other side may already
+        send its next one when this is cancelled; what has come of it is kept.
         """
         try:
-            await self.sock.recv(1)
+            await self._keep_until_closed()
         except OSError:
             return
 
@@ -119,6 +137,14 @@
         """Close the connection."""
         await self.sock.close()
 
+    async def _keep_until_closed(self) -> None:
+        while len(self.received) < MAX_MESSAGE_BYTES:
+            chunk = await self.sock.recv(_READ_BYTES)
+            if not chunk:
+                return
+            self.received.extend(chunk)
+        await curio.Event().wait()
+
     async def _receive(self) -> object:
         await self._fill(_HEAD.size)
         length, number = _HEAD.unpack_from(self.received)
@@ -128,7 +154,9 @@
         await self._fill(end)
         body = bytes(self.received[_HEAD.size : end])
         self.received = self.received[end:]
-        return decode(number, body)
+        message = decode(number, body)
+        _count(type(message), end)
+        return message
 
     async def _fill(self, count: int) -> None:
         while len(self.received) < count:
--- a/packages/runtime/src/camphorstair_runtime/metrics.py
+++ b/packages/runtime/src/camphorstair_runtime/metrics.py
@@ -20,6 +20,7 @@
     repeated_events: metrics_api.Counter
     resumed_streams: metrics_api.Counter
     silent_agents: metrics_api.Counter
+    ejections: metrics_api.Counter
 
 
 def set_up(node: str) -> Instruments:
@@ -41,6 +42,7 @@
         keyed=meter.create_counter('camphorstair_keyed_requests'),
         repeated_events=meter.create_counter('camphorstair_repeated_events'),
         resumed_streams=meter.create_counter('camphorstair_resumed_streams'),
+        ejections=meter.create_counter('camphorstair_ejections'),
         silent_agents=meter.create_counter('camphorstair_silent_agents'),
     )
 
--- a/packages/runtime/src/camphorstair_runtime/peers.py
+++ b/packages/runtime/src/camphorstair_runtime/peers.py
@@ -14,18 +14,26 @@
     membership,
     membership_messages,
     messages,
+    order_messages,
     vm_lists,
 )
-from camphorstair_runtime import clocks, closing, links, node
+from camphorstair_runtime import clocks, closing, links, node, traffic
 
 _LOG = logging.getLogger(__name__)
 _MS_IN_S = 1000
+_ORDERS = (order_messages.FenceRequest, order_messages.Order)
+_WITH_REVISION = (
+    messages.Hello,
+    messages.RequestStart,
+    membership_messages.Heartbeat,
+)
 _STATM = pathlib.Path('/proc/self/statm')
 
 LinkHandler = abc.Callable[
     [links.Link, messages.RequestStart],
     abc.Awaitable[None],
 ]
+OrderHandler = abc.Callable[[object], abc.Awaitable[object]]
 NamedSource = abc.Callable[[str, float], float]
 
 
@@ -51,6 +59,7 @@
         memory_bytes=_resident_bytes(),
         processor_s=time.process_time(),
         refused=state.holder.refused,
+        control_bytes=traffic.PROCESS.control_bytes,
     )
 
 
@@ -101,7 +110,7 @@
 
 def _revision(message: object) -> int:
     """Return the revision in force at the sender, or 0 if it is not said."""
-    if isinstance(message, messages.Hello | messages.RequestStart):
+    if isinstance(message, _WITH_REVISION):
         return message.revision
     if isinstance(message, messages.ConfigurationRequest):
         return message.above_revision
@@ -117,6 +126,7 @@
     :ivar run_request: Runs a request, if it is an agent.
     :ivar named_s: How long directory answers that name a VM are in force.
     :ivar changed: Called when a process said that it leaves or is there.
+    :ivar answer_order: Answers a message of a holder, if it is an agent.
     :ivar ended: Whether no further message is read.
     :ivar idle: Sockets of links on which no message is awaited or answered.
     :ivar running: Number of requests in progress.
@@ -128,6 +138,7 @@
     run_request: LinkHandler | None = None
     named_s: NamedSource = never_named
     changed: abc.Callable[[], None] = _ignore_change
+    answer_order: OrderHandler | None = None
     ended: bool = False
     idle: set[curio.io.Socket] = attrs.field(factory=set)
     running: int = 0
@@ -166,7 +177,7 @@
             if isinstance(message, messages.RequestStart):
                 await self._run(link, message)
             else:
-                await link.send(self._answer(message))
+                await link.send(await self._reply(message))
 
     async def _receive(self, link: links.Link) -> object:
         self.idle.add(link.sock)
@@ -206,6 +217,11 @@
         finally:
             self.running -= 1
 
+    async def _reply(self, message: object) -> object:
+        if isinstance(message, _ORDERS) and self.answer_order is not None:
+            return await self.answer_order(message)
+        return self._answer(message)
+
     def _answer(self, message: object) -> object:
         if isinstance(message, messages.Hello):
             return self.state.hello()
--- a/packages/runtime/src/camphorstair_runtime/platform.py
+++ b/packages/runtime/src/camphorstair_runtime/platform.py
@@ -8,25 +8,19 @@
 import curio
 import msgspec
 
-from camphorstair_runtime import http_client, http_messages, platform_messages
+from camphorstair_runtime import (
+    http_client,
+    http_messages,
+    platform_calls,
+    platform_messages,
+)
 
-CALL_LIMIT_S = 2.0
+SESSION_KEY = 'camphorstair/session'
 
+PlatformError = platform_calls.PlatformError
 Reply = typing.TypeVar('Reply')
 
 
-class PlatformError(Exception):
-    """The platform did not answer; a write may have taken effect.
-
-    :ivar sent: Whether the platform may have received the call.
-    """
-
-    def __init__(self, message: str, *, sent: bool = True) -> None:
-        """Keep the message and whether the call was sent."""
-        super().__init__(message)
-        self.sent = sent
-
-
 @attrs.define
 class KeyValue:
     """A value and the revision of its last change.
@@ -102,10 +96,37 @@
 
     :ivar addresses: ``IP:port`` of its members, in the order tried.
     :ivar calls: Calls made so far; each counts at the platform.
+    :ivar session: The connection that all calls but watches go over, if one
+        is begun.
     """
 
     addresses: list[str]
     calls: int = 0
+    session: platform_calls.Session | None = None
+
+    async def begin_session(self) -> None:
+        """Send the calls that follow over one connection, until it fails.
+
+        :raises PlatformError: if no member answers.
+        """
+        await self.end_session()
+        failure = PlatformError('no address', sent=False)
+        for address in self.addresses:
+            self.session = platform_calls.Session(address)
+            try:
+                await self.get(SESSION_KEY)
+            except PlatformError as error:
+                failure = error
+                await self.end_session()
+            else:
+                return
+        raise failure
+
+    async def end_session(self) -> None:
+        """Send each call over a connection of its own again."""
+        if self.session is not None:
+            await platform_calls.end(self.session)
+            self.session = None
 
     async def get(self, key: str) -> KeyValue:
         """Return the value of a key.
@@ -240,11 +261,14 @@
         *,
         repeat: bool = True,
     ) -> bytes:
+        if self.session is not None:
+            self.calls += 1
+            return await platform_calls.call_in(self.session, target, payload)
         failure = PlatformError('no address', sent=False)
         for address in self.addresses:
             self.calls += 1
             try:
-                return await _call_member(address, target, payload)
+                return await platform_calls.call(address, target, payload)
             except PlatformError as error:
                 failure = error
             if failure.sent and not repeat:
@@ -252,36 +276,12 @@
         raise failure
 
 
-async def _call_member(
-    address: str,
-    target: str,
-    payload: platform_messages.Payload,
-) -> bytes:
-    try:
-        response = await curio.timeout_after(
-            CALL_LIMIT_S,
-            http_client.fetch_json,
-            address,
-            target,
-            payload,
-        )
-    except http_client.HttpError as error:
-        message = f'{address}: {error!r}'
-        raise PlatformError(message, sent=error.sent) from error
-    except curio.TaskTimeout as timeout:
-        message = f'{address}: no answer in {CALL_LIMIT_S} s'
-        raise PlatformError(message) from timeout
-    if response.status != http.HTTPStatus.OK:
-        raise PlatformError(f'{address}: status {response.status}')
-    return response.body
-
-
 async def _open(
     address: str,
     request: http_messages.Request,
 ) -> http_client.Exchange:
     exchange = await curio.timeout_after(
-        CALL_LIMIT_S,
+        platform_calls.CALL_LIMIT_S,
         http_client.open_exchange,
         address,
         request,
--- a/packages/standins/src/camphorstair_standins/engine.py
+++ b/packages/standins/src/camphorstair_standins/engine.py
@@ -31,6 +31,7 @@
     :ivar warm_after: Whole answers after which it is warm.
     :ivar repeated_events: Events before the offset that it sends again when
         it goes on with a stream.
+    :ivar checks_fencing: Whether it refuses orders with old numbers.
     """
 
     tokens: int = 20
@@ -39,6 +40,7 @@
     warm_bearable: int = 8
     warm_after: int = 8
     repeated_events: int = 0
+    checks_fencing: bool = False
 
 
 @attrs.define
@@ -49,6 +51,7 @@
     :ivar answered: Whole answers so far.
     :ivar over_limit: Requests that came when it bore no more.
     :ivar cancelled: Streams that the client gave up.
+    :ivar orders: Orders that it obeyed.
     """
 
     behaviour: EngineSettings
@@ -56,6 +59,7 @@
     answered: int = 0
     over_limit: int = 0
     cancelled: int = 0
+    orders: list[dict[str, typing.Any]] = attrs.field(factory=list)
 
     async def handle(
         self,
@@ -68,6 +72,9 @@
                 http_messages.json_response(http.HTTPStatus.OK, self),
             )
             return
+        if request.path == '/orders':
+            await responder.respond(self._obey(request))
+            return
         self.in_flight += 1
         if self.in_flight > self._bearable():
             self.over_limit += 1
@@ -78,6 +85,21 @@
         finally:
             self._note_end(whole=whole)
 
+    def _obey(
+        self,
+        request: http_messages.Request,
+    ) -> http_messages.Response:
+        if request.method == 'POST':
+            order = msgspec.json.decode(request.body)
+            seen = max((one['fencing'] for one in self.orders), default=0)
+            if self.behaviour.checks_fencing and order['fencing'] < seen:
+                return http_messages.json_response(
+                    http.HTTPStatus.CONFLICT,
+                    {'fencing': seen},
+                )
+            self.orders.append(order)
+        return http_messages.json_response(http.HTTPStatus.OK, self.orders)
+
     def _note_end(self, *, whole: bool) -> None:
         self.in_flight -= 1
         if whole:
--- a/packages/standins/src/camphorstair_standins/key_value.py
+++ b/packages/standins/src/camphorstair_standins/key_value.py
@@ -12,6 +12,7 @@
 import sys
 import types
 import typing
+import weakref
 
 import attrs
 import curio
@@ -71,12 +72,18 @@
     """The service with its faults.
 
     :ivar kept: The copy that a restart may take over.
+    :ivar restarts: Restarts so far.
+    :ivar connections: The number of restarts when each connection began.
     """
 
     store: key_value_store.Store = attrs.field(factory=_new_store)
     faults: Faults = attrs.field(factory=Faults)
     usage: Usage = attrs.field(factory=Usage)
     kept: key_value_store.Store | None = None
+    restarts: int = 0
+    connections: weakref.WeakKeyDictionary[typing.Any, int] = attrs.field(
+        factory=weakref.WeakKeyDictionary,
+    )
 
     async def handle(
         self,
@@ -90,7 +97,7 @@
         count = self.usage.calls.get(request.path, 0)
         self.usage.calls[request.path] = count + 1
         self.usage.received_bytes += len(request.body)
-        self._refuse_in_outage()
+        self._refuse_ended(responder)
         await curio.sleep(self.faults.delay_s)
         key_value_store.expire(self.store)
         payload = msgspec.json.decode(request.body or b'{}')
@@ -106,9 +113,12 @@
             self.kept = copy.deepcopy(self.store)
         if faults.restore_copy and self.kept is not None:
             key_value_store.restore(self.store, self.kept)
+            self.restarts += 1
 
-    def _refuse_in_outage(self) -> None:
-        if self.faults.outage:
+    def _refuse_ended(self, responder: http_server.Responder) -> None:
+        """End a connection in an outage, or after a restart."""
+        began = self.connections.setdefault(responder.sock, self.restarts)
+        if self.faults.outage or began != self.restarts:
             raise http_server.Disconnected('outage')
 
     async def _answer(
@@ -145,7 +155,7 @@
         await responder.start(http.HTTPStatus.OK, [])
         await self._send_line(responder, {'created': True})
         while True:
-            self._refuse_in_outage()
+            self._refuse_ended(responder)
             key_value_store.expire(self.store)
             found = key_value_store.changes_of(self.store, create['key'], start)
             if found and not self.faults.silent_watches:
--- a/packages/standins/src/camphorstair_standins/loopback.py
+++ b/packages/standins/src/camphorstair_standins/loopback.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import random
 import socket
 import time
 import typing
@@ -13,6 +14,10 @@
 HOST = '127.0.0.1'
 POLL_S = 0.05
 CALL_LIMIT_S = 30.0
+_FIRST_PORT = 12000
+_END_PORT = 32000
+_GENERATOR = random.SystemRandom()
+_RETURNED: set[str] = set()
 
 
 class WaitError(Exception):
@@ -20,10 +25,28 @@
 
 
 def free_address() -> str:
-    """Return an address on loopback that nothing listens on."""
+    """Return an address on loopback that nothing listens on.
+
+    The kernel gives ports of its own range to outgoing connections, also
+    between this call and the start of the process that is to listen there,
+    and may return one twice. So the port comes from below that range, and
+    each is returned once.
+    """
+    while True:
+        port = _GENERATOR.randrange(_FIRST_PORT, _END_PORT)
+        address = f'{HOST}:{port}'
+        if address not in _RETURNED and _can_bind(port):
+            _RETURNED.add(address)
+            return address
+
+
+def _can_bind(port: int) -> bool:
     with contextlib.closing(socket.socket()) as sock:
-        sock.bind((HOST, 0))
-        return f'{HOST}:{sock.getsockname()[1]}'
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def listening(address: str) -> bool:
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -9,7 +9,7 @@
     configuration_values,
     platform,
 )
-from camphorstair_standins import key_value_bench
+from camphorstair_standins import key_value, key_value_bench
 
 AUTHOR = changes.Author('me', 1)
 
@@ -27,6 +27,15 @@
     return acceptance.prepare(stored, text, AUTHOR)
 
 
+async def _nothing_newer() -> int:
+    return 0
+
+
+async def _accept(client: platform.PlatformClient, text: str) -> None:
+    plan = await _prepare(client, text)
+    assert await acceptance.accept(client, plan, _nothing_newer)
+
+
 async def _history(client: platform.PlatformClient) -> list[str]:
     found = await configuration_store.history(client, 9)
     return [one.change_id for one in found]
@@ -36,13 +45,12 @@
     bench: key_value_bench.Bench,
 ) -> None:
     async def body(client: platform.PlatformClient) -> None:
-        await acceptance.accept(client, await _prepare(client, '# a'))
+        await _accept(client, '# a')
         mine = await _prepare(client, '# mine')
-        await acceptance.accept(client, await _prepare(client, '# other'))
-        with pytest.raises(acceptance.ConflictError) as conflict:
-            await acceptance.accept(client, mine)
-        expected = ['revision 2 by me:', '-# a', '+# other']
-        assert conflict.value.lines == expected
+        await _accept(client, '# other')
+        assert not await acceptance.accept(client, mine, _nothing_newer)
+        conflict = await acceptance.conflict(client, 1)
+        assert conflict.lines == ['revision 2 by me:', '-# a', '+# other']
 
     bench.run(body)
 
@@ -53,7 +61,7 @@
     async def body(client: platform.PlatformClient) -> None:
         plan = await _prepare(client, '# a')
         bench.service.faults.lost_answers = 1
-        await acceptance.accept(client, plan)
+        assert await acceptance.accept(client, plan, _nothing_newer)
         assert await _history(client) == [plan.changed.change_id]
 
     bench.run(body)
@@ -70,44 +78,38 @@
     ) -> bool:
         monkeypatch.setattr(configuration_store, 'write', real)
         await real(client, *arguments)  # type: ignore[arg-type]
-        other = await _prepare(client, '# other')
-        await acceptance.accept(client, other)
+        await _accept(client, '# other')
         raise platform.PlatformError('the answer is lost')
 
     async def body(client: platform.PlatformClient) -> None:
         plan = await _prepare(client, '# a')
         monkeypatch.setattr(configuration_store, 'write', write)
-        await acceptance.accept(client, plan)
+        assert await acceptance.accept(client, plan, _nothing_newer)
         found = await _history(client)
         assert found[1:] == [plan.changed.change_id]
 
     bench.run(body)
 
 
-def test_a_write_that_never_came_is_done_once(
+def test_a_write_that_comes_too_late_is_kept_out(
     bench: key_value_bench.Bench,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     real = configuration_store.write
     late: list[tuple[object, ...]] = []
-    written = []
 
     async def write(
         client: platform.PlatformClient, *arguments: object
     ) -> bool:
-        if not late:
-            late.append(arguments)
-            raise platform.PlatformError('on its way')
-        # The first one arrives after all, just before the second.
-        written.append(await real(client, *late[0]))  # type: ignore[arg-type]
-        return await real(client, *arguments)  # type: ignore[arg-type]
+        late.append(arguments)
+        raise platform.PlatformError('on its way')
 
     async def body(client: platform.PlatformClient) -> None:
         plan = await _prepare(client, '# a')
         monkeypatch.setattr(configuration_store, 'write', write)
-        await acceptance.accept(client, plan)
-        assert written == [False]
-        assert await _history(client) == [plan.changed.change_id]
+        assert not await acceptance.accept(client, plan, _nothing_newer)
+        assert not await real(client, *late[0])  # type: ignore[arg-type]
+        assert not await _history(client)
 
     bench.run(body)
 
@@ -119,7 +121,7 @@
         plan = await _prepare(client, '# a')
         bench.service.faults.outage = True
         with pytest.raises(acceptance.UnknownOutcomeError) as unknown:
-            await acceptance.accept(client, plan)
+            await acceptance.accept(client, plan, _nothing_newer)
         assert plan.changed.change_id in str(unknown.value)
         assert 'camphorstair history' in str(unknown.value)
 
@@ -136,19 +138,61 @@
         client: platform.PlatformClient, *arguments: object
     ) -> bool:
         await real(client, *arguments)  # type: ignore[arg-type]
-        faults = bench.service.faults.__class__
-        bench.service.bring_about(faults(restore_copy=True))
+        bench.service.bring_about(key_value.Faults(restore_copy=True))
         raise platform.PlatformError('the answer is lost')
 
     async def body(client: platform.PlatformClient) -> None:
-        await acceptance.accept(client, await _prepare(client, '# a'))
-        faults = bench.service.faults.__class__
-        bench.service.bring_about(faults(keep_copy=True))
-        await acceptance.accept(client, await _prepare(client, '# b'))
+        await _accept(client, '# a')
+        bench.service.bring_about(key_value.Faults(keep_copy=True))
+        await _accept(client, '# b')
         plan = await _prepare(client, '# c')
         monkeypatch.setattr(configuration_store, 'write', write)
         with pytest.raises(acceptance.UnknownOutcomeError):
-            await acceptance.accept(client, plan)
+            await acceptance.accept(client, plan, _nothing_newer)
+
+    bench.run(body)
+
+
+def test_a_restored_base_does_not_hide_what_is_in_force(
+    bench: key_value_bench.Bench,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    real = configuration_store.write
+
+    async def write(
+        client: platform.PlatformClient, *arguments: object
+    ) -> bool:
+        await real(client, *arguments)  # type: ignore[arg-type]
+        bench.service.bring_about(key_value.Faults(restore_copy=True))
+        raise platform.PlatformError('the answer is lost')
+
+    async def taken_before() -> int:
+        return 2
+
+    async def body(client: platform.PlatformClient) -> None:
+        await _accept(client, '# a')
+        bench.service.bring_about(key_value.Faults(keep_copy=True))
+        plan = await _prepare(client, '# b')
+        monkeypatch.setattr(configuration_store, 'write', write)
+        with pytest.raises(acceptance.UnknownOutcomeError):
+            await acceptance.accept(client, plan, taken_before)
+
+    bench.run(body)
+
+
+def test_a_restart_between_reading_and_writing_keeps_the_write_out(
+    bench: key_value_bench.Bench,
+) -> None:
+    async def body(client: platform.PlatformClient) -> None:
+        await _accept(client, '# a')
+        bench.service.bring_about(key_value.Faults(keep_copy=True))
+        await client.begin_session()
+        plan = await _prepare(client, '# mine')
+        other = platform.PlatformClient(client.addresses)
+        await _accept(other, '# in force')
+        bench.service.bring_about(key_value.Faults(restore_copy=True))
+        assert not await acceptance.accept(client, plan, _nothing_newer)
+        assert len(await _history(other)) == 1
 
     bench.run(body)
 
@@ -159,13 +203,15 @@
     in_force = configuration.Configuration(9, 'nine', '# nine')
 
     async def body(client: platform.PlatformClient) -> None:
-        await acceptance.accept(client, await _prepare(client, '# old'))
+        await _accept(client, '# old')
         found = await configuration_store.read_head(client)
         repair = acceptance.prepare_repair(found, in_force, AUTHOR)
-        await acceptance.accept(client, repair)
+        assert await configuration_store.write(
+            client, found, repair.changed, repair.change
+        )
         stored = await configuration_store.read(client)
         assert stored.current == in_force
-        await acceptance.accept(client, await _prepare(client, '# ten'))
+        await _accept(client, '# ten')
         head = await configuration_store.read_head(client)
         assert head.revision() == 10
 
@@ -180,7 +226,9 @@
         raw = await client.get(configuration_values.HEAD_KEY)
         found = configuration_values.StoredHead(None, raw.mod_revision)
         repair = acceptance.prepare_repair(found, in_force, AUTHOR)
-        await acceptance.accept(client, repair)
+        assert await configuration_store.write(
+            client, found, repair.changed, repair.change
+        )
         stored = await configuration_store.read(client)
         assert stored.current == in_force
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -1,6 +1,7 @@
 """Streams that break in real processes, and what their callers get."""
 
 import contextlib
+import itertools
 import json
 import signal
 import typing
@@ -16,9 +17,9 @@
 LIMIT_S = 20.0
 SITE = sites.Site(
     region='qc-est',
-    data_centres=('levis-nord', 'levis-sud'),
+    data_centres=('levis-nord',),
     entries=1,
-    endpoints={'redacteur': 1},
+    endpoints={'redacteur': 2},
     rules="""\
 service name=redacteur kind=engine in_flight=8 cold_in_flight=4  # tests
 model name=redacteur-8b service=redacteur                        # tests
@@ -53,10 +54,12 @@
 def _stream(
     running: fleet.Fleet,
     timeout_ms: str = '',
+    prompt: str = 'Draft a note.',
 ) -> abc.Iterator[http_client.HTTPResponse]:
     address = running.entries[0].callers_address
     caller = http_client.HTTPConnection(address, timeout=LIMIT_S)
-    body = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
+    turns = [{'role': 'user', 'content': prompt}]
+    body = {'model': 'redacteur-8b', 'stream': True, 'messages': turns}
     authorization = f'Bearer {running.token("gravier")}'
     fields = {'authorization': authorization}
     if timeout_ms:
@@ -84,9 +87,10 @@
 def _wait_ready(running: fleet.Fleet) -> None:
     """Wait until both endpoints answer, so that no earlier test counts."""
     unserved = {vm.name for vm in running.agents}
+    prompts = itertools.count()
 
     def all_served() -> bool:
-        with _stream(running) as answer:
+        with _stream(running, prompt=str(next(prompts))) as answer:
             _read_events(answer, 1)
             unserved.discard(_busy(running).name)
         return not unserved
--- /dev/null
+++ b/tests/test_data_centre_out.py
@@ -0,0 +1,217 @@
+"""A data centre is taken out and brought back while callers send requests."""
+
+import json
+import pathlib
+import random
+import threading
+import time
+from collections import abc
+
+import attrs
+import pytest
+
+from camphorstair_core import (
+    affinity,
+    choice,
+    endpoints,
+    returning,
+    rule_reader,
+    subsets,
+    vms,
+)
+from camphorstair_standins import fleet, loopback, sites
+
+LIMIT_S = 20.0
+OUT_RULE = 'out data_centre=levis-sud  # test: maintenance\n'
+SITE = sites.Site(
+    region='qc-est',
+    data_centres=('levis-nord', 'levis-sud'),
+    entries=1,
+    endpoints={'redacteur': 1, 'comptoir': 1},
+    rules=sites.LEVIS_RULES,
+)
+DRAFT = json.dumps(
+    {'model': 'redacteur-8b', 'stream': True, 'messages': []},
+).encode()
+PAUSE_S = 0.02
+
+
+@attrs.define
+class Load:
+    """Callers that send one request after the other.
+
+    :ivar stopped: Set to end them.
+    :ivar whole: Number of whole answers.
+    :ivar failures: Everything else that came.
+    """
+
+    running: fleet.Fleet
+    stopped: threading.Event = attrs.field(factory=threading.Event)
+    whole: int = 0
+    failures: list[str] = attrs.field(factory=list)
+
+    def call(self, entry: vms.Vm) -> None:
+        token = self.running.token('gravier')
+        headers = {'authorization': f'Bearer {token}'}
+        while not self.stopped.is_set():
+            self.draft(entry, headers)
+            time.sleep(PAUSE_S)
+
+    def draft(self, entry: vms.Vm, headers: dict[str, str]) -> None:
+        address = entry.callers_address
+        path = '/v1/chat/completions'
+        try:
+            body = loopback.http_call(address, path, DRAFT, headers).body
+        except OSError as error:
+            body = repr(error).encode()
+        if body.endswith(b'data: [DONE]\n\n'):
+            self.whole += 1
+        else:
+            self.failures.append(repr(body))
+
+    def wait_more(self, count: int) -> None:
+        """Wait for a number of further whole answers."""
+        goal = self.whole + count
+        loopback.wait_for(lambda: self.whole >= goal, LIMIT_S)
+
+
+@pytest.fixture
+def load(tmp_path: pathlib.Path) -> abc.Iterator[Load]:
+    """Yield the callers of a running fleet, one at each entry."""
+    running = fleet.Fleet(tmp_path, SITE)
+    calls = Load(running)
+    try:
+        running.start()
+        yield from calling(calls)
+    finally:
+        running.processes.stop()
+
+
+def calling(calls: Load) -> abc.Iterator[Load]:
+    """Run one caller at each entry while the test runs."""
+    threads = [
+        threading.Thread(target=calls.call, args=(entry,))
+        for entry in calls.running.entries
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield calls
+    finally:
+        calls.stopped.set()
+    for thread in threads:
+        thread.join()
+
+
+def started(running: fleet.Fleet) -> int:
+    """Return how many requests the engine of levis-sud was given."""
+    address = running.endpoint_addresses['levis-sud-redacteur-1']
+    stats = loopback.http_call(address, '/stats').json()
+    return int(stats['in_flight'] + stats['answered'] + stats['cancelled'])
+
+
+def cancelled(running: fleet.Fleet) -> int:
+    address = running.endpoint_addresses['levis-sud-redacteur-1']
+    stats = loopback.http_call(address, '/stats').json()
+    return int(stats['cancelled'])
+
+
+def test_out_and_back_loses_nothing(load: Load) -> None:
+    running = load.running
+    load.wait_more(20)
+    assert started(running)
+    before = running.rules_path.read_text(encoding='utf-8')
+    running.rules_path.write_text(before + OUT_RULE, encoding='utf-8')
+    running.apply()
+    at_apply = started(running)
+    load.wait_more(30)
+    assert started(running) == at_apply
+    assert cancelled(running) == 0
+    named = [
+        loopback.http_call(entry.callers_address, '/v1/entries').json()
+        for entry in running.entries
+    ]
+    near = running.entries[0].callers_address
+    assert [answer['addresses'] for answer in named] == [[near], [near]]
+    running.rules_path.write_text(before, encoding='utf-8')
+    running.apply()
+    loopback.wait_for(lambda: started(running) > at_apply, LIMIT_S)
+    load.wait_more(10)
+    assert load.failures == []
+
+
+def test_the_share_of_a_returning_data_centre_rises() -> None:
+    table = endpoints.EndpointTable()
+    listed = [agent(place) for place in ('levis-nord', 'levis-sud')]
+    endpoints.update_vms(table, listed)
+    out, _ = rule_reader.parse(OUT_RULE)
+    back, _ = rule_reader.parse('')
+    endpoints.apply_rules(table, out, 0)
+    assert not part(table, 1)
+    endpoints.apply_rules(table, back, 100)
+    parts = [
+        part(table, 100 + step * returning.RAMP_S / 4) for step in range(5)
+    ]
+    assert sorted(parts) == parts
+    # The admitted share rises from 0.1 to 1, and half of it goes there.
+    expected = (0.05, 0.1625, 0.275, 0.3875, 0.5)
+    assert parts == pytest.approx(expected, abs=0.03)
+
+
+def test_a_data_centre_taken_out_again_starts_its_ramp_anew() -> None:
+    returns = returning.Returns()
+    out = frozenset(('charny',))
+    for time_s in (0, 30):
+        returning.note_outages(returns, out, time_s)
+        assert not returns.ramp_deadlines_s
+        returning.note_outages(returns, frozenset(), time_s + 10)
+    assert returns.ramp_deadlines_s == {'charny': 40 + returning.RAMP_S}
+    returning.note_outages(returns, frozenset(), 50)
+    assert returns.ramp_deadlines_s == {'charny': 40 + returning.RAMP_S}
+
+
+def test_an_endpoint_is_cold_after_a_long_outage_only() -> None:
+    outage = returning.Outage()
+    long_s = returning.WARM_S
+    steps = (
+        (True, 0, False),
+        (False, long_s - 1, False),
+        (True, 100, False),
+        (True, 101, False),
+        (False, 100 + long_s, True),
+        (False, 300, False),
+    )
+    for out, time_s, cold in steps:
+        assert returning.note_outage(outage, out=out, now_s=time_s) is cold
+
+
+def agent(data_centre: str) -> vms.Vm:
+    return vms.Vm(
+        name=f'{data_centre}-agent',
+        role=vms.VmRole.agent,
+        state=vms.VmState.live,
+        region='qc-est',
+        data_centre=data_centre,
+        peers_address='',
+        service='redacteur',
+    )
+
+
+def part(table: endpoints.EndpointTable, now_s: float) -> float:
+    """Return which part of 1000 requests goes to levis-sud."""
+    generator = random.Random(1)
+    subset_table = subsets.SubsetTable('entry', 'charny')
+    listed = [row.vm for row in table.rows.values()]
+    subsets.update(subset_table, table, listed)
+    chosen = [
+        choice.choose(
+            subset_table,
+            affinity.CacheHints(),
+            choice.Wish('redacteur'),
+            now_s,
+            generator,
+        )
+        for _ in range(1000)
+    ]
+    places = [row.vm.data_centre for row in chosen if row is not None]
+    return places.count('levis-sud') / len(chosen)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,108 @@
+"""Orders through agents: old numbers, restarts, an unreachable platform."""
+
+import curio
+import pytest
+
+from camphorstair_agent import orders
+from camphorstair_core import order_messages
+from camphorstair_core.experts import fencing
+from camphorstair_runtime import http_messages, peers, platform, settings
+from camphorstair_standins import fleet, loopback
+
+GROUP = 'redacteur-group'
+Decision = fencing.Decision
+
+
+def ask(running: fleet.Fleet, message: object) -> object:
+    agent = next(vm for vm in running.agents if vm.service == 'redacteur')
+    address = settings.split_address(agent.peers_address)
+    return curio.run(peers.call, address, None, message, 5)
+
+
+def fence_at(
+    running: fleet.Fleet,
+    number: int,
+    sequence: int = 0,
+) -> order_messages.FenceReply:
+    reply = ask(running, order_messages.FenceRequest(GROUP, number, sequence))
+    assert isinstance(reply, order_messages.FenceReply)
+    return reply
+
+
+def decision_on(running: fleet.Fleet, given: order_messages.Order) -> str:
+    reply = ask(running, given)
+    assert isinstance(reply, order_messages.OrderReply)
+    return reply.decision
+
+
+def order(boot: str, number: int, sequence: int = 0) -> order_messages.Order:
+    kind = order_messages.OrderKind.load_adapter
+    body = b'{"adapter":"permits"}'
+    return order_messages.Order(GROUP, boot, number, sequence, kind, body)
+
+
+def test_old_numbers_do_not_reach_an_engine_that_ignores_them(
+    small_fleet: fleet.Fleet,
+) -> None:
+    boot = fence_at(small_fleet, 5).boot
+    decisions = [
+        decision_on(small_fleet, order(boot, 5, 1)),
+        decision_on(small_fleet, order(boot, 4, 9)),
+        decision_on(small_fleet, order(boot, 5, 0)),
+    ]
+    assert decisions == [Decision.passed, Decision.refused, Decision.refused]
+    seen = fence_at(small_fleet, 5, 1)
+    assert seen.engine.count(b'"fencing"') == 1
+
+
+def test_orders_for_an_earlier_run_of_the_agent_are_refused(
+    small_fleet: fleet.Fleet,
+) -> None:
+    boot = fence_at(small_fleet, 6).boot
+    agent = next(vm for vm in small_fleet.agents if vm.service == 'redacteur')
+    small_fleet.processes.rows[agent.name].kill()
+    small_fleet.processes.rows[agent.name].wait()
+    small_fleet.start_vm(agent)
+    loopback.wait_for(lambda: loopback.listening(agent.peers_address), 30)
+    assert decision_on(small_fleet, order(boot, 9)) == Decision.other_boot
+    assert fence_at(small_fleet, 6).boot != boot
+
+
+async def refuse(method: str, body: bytes) -> http_messages.Response:
+    return http_messages.Response(503, [], b'')
+
+
+def test_orders_are_held_back_until_the_number_is_known() -> None:
+    numbers: list[int] = []
+
+    async def read_number(group: str) -> int:
+        if not numbers:
+            raise platform.PlatformError('down')
+        return numbers[-1]
+
+    async def scenario() -> list[str]:
+        gate = orders.OrderGate(refuse, read_number)
+        found = []
+        for number in (7, 7, 8):
+            reply = await gate.answer(order(gate.boot, number))
+            assert isinstance(reply, order_messages.OrderReply)
+            found.append(reply.decision)
+            numbers.append(8)
+        return found
+
+    held_back, refused, passed = curio.run(scenario)
+    assert held_back == Decision.held_back.value
+    assert refused == Decision.refused.value
+    assert passed == Decision.passed.value
+
+
+def test_fence_never_falls() -> None:
+    fence = fencing.Fence('boot', fencing.OrderNumber(3, 1))
+    assert fencing.raise_to(fence, fencing.OrderNumber(2, 9)) == fence
+
+
+@pytest.mark.parametrize('message', ['order', None])
+def test_other_messages_are_refused(message: object) -> None:
+    gate = orders.OrderGate(refuse, lambda group: None)  # type: ignore
+    with pytest.raises(Exception, match='unexpected'):
+        curio.run(gate.answer, message)
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -31,7 +31,12 @@
 async def _accept(client: platform.PlatformClient, text: str) -> None:
     stored = await configuration_store.read(client)
     author = changes.Author('me', 1)
-    await acceptance.accept(client, acceptance.prepare(stored, text, author))
+    plan = acceptance.prepare(stored, text, author)
+    assert await acceptance.accept(client, plan, _nothing_newer)
+
+
+async def _nothing_newer() -> int:
+    return 0
 
 
 def _state(name: str, revision: int = 0) -> node.NodeState:
