--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -9,7 +9,14 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, endpoint_watch, keyed, orders, relay
+from camphorstair_agent import (
+    claiming,
+    endpoint_watch,
+    keyed,
+    orders,
+    relay,
+    turns,
+)
 from camphorstair_core import admission, ownership, returning, vms
 from camphorstair_runtime import (
     announcing,
@@ -137,12 +144,13 @@
         uuid.uuid4().hex,
     )
     address = checked.endpoint.address
+    queue = turns.Turns(agent.gate)
     return relay.Relay(
         agent.state,
         address,
-        agent.gate,
+        queue,
         instruments,
-        keyed.KeyedRelay(address, agent.gate, instruments, claims),
+        keyed.KeyedRelay(address, queue, instruments, claims),
     )
 
 
