Take an answer that tells no length as broken

Cause: an answer with neither a length nor chunks ends with its connection; the agent took a dying endpoint's half of it for the whole, so a caller could get a clean short answer.

Ruled out: trusting "[DONE]", which helps one kind of stream only.

--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -1,5 +1,6 @@
 """The HTTP/1.1 client side, by h11 on curio; one connection a request."""
 
+import http
 import typing
 
 import attrs
@@ -10,6 +11,10 @@
 from camphorstair_runtime import http_messages, http_server, settings, sockets
 
 CONNECT_LIMIT_S = 2.0
+_BODILESS = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+)
+_LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
 
 class HttpError(Exception):
@@ -30,12 +35,14 @@
 
     :ivar status: Status of the answer.
     :ivar headers: Its headers, names in lower case.
+    :ivar framed: Whether the end of its body can be told from a break.
     """
 
     sock: curio.io.Socket
     protocol: h11.Connection
     status: int = 0
     headers: http_messages.HeaderList = attrs.field(factory=list)
+    framed: bool = True
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
@@ -46,6 +53,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self._check_end()
             return None
         raise HttpError('the answer breaks off', sent=True)
 
@@ -69,6 +77,14 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpError(str(error), sent=True) from error
 
+    def _check_end(self) -> None:
+        """Refuse a body that only the end of the connection ends.
+
+        It can't be told from one that broke off.
+        """
+        if not self.framed:
+            raise HttpError('the answer does not tell its length', sent=True)
+
 
 async def open_exchange(
     address: str,
@@ -87,7 +103,7 @@
     exchange = Exchange(sock, h11.Connection(h11.CLIENT))
     try:
         await _send(exchange, address, request)
-        await _read_head(exchange)
+        await _read_head(exchange, request)
     except BaseException:
         await sock.close()
         raise
@@ -159,7 +175,10 @@
         raise HttpError(f'send to {address}: {error}', sent=True) from error
 
 
-async def _read_head(exchange: Exchange) -> None:
+async def _read_head(
+    exchange: Exchange,
+    request: http_messages.Request,
+) -> None:
     event = await exchange.event()
     if not isinstance(event, h11.Response):
         raise HttpError('no answer', sent=True)
@@ -168,3 +187,6 @@
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in event.headers
     ]
+    names = {name for name, _value in exchange.headers}
+    bodiless = event.status_code in _BODILESS or request.method == 'HEAD'
+    exchange.framed = bodiless or bool(names & _LENGTH_HEADERS)
