--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -107,7 +107,7 @@
 
     async def _open(self) -> links.Link:
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             self.entry.pool.idle.pop(self.endpoint.vm.name, None)
             if keys.keyed(self.start):
@@ -118,23 +118,10 @@
                 verdicts.Verdict.not_run,
             ) from error
 
-    async def _open_checked(self) -> links.Link:
-        link = await self.entry.pool.take(self.endpoint.vm)
-        if self.start.idempotent:
-            return link
-        checked = False
-        try:
-            await receiving.check_alive(link, self.entry.state.hello())
-            checked = True
-        finally:
-            if not checked:
-                await link.close()
-        return link
-
     async def _open_again(self) -> links.Link:
         """Open a new link to the owner of a key; no other may answer."""
         try:
-            return await self._open_checked()
+            return await _open_checked(self.entry, self.endpoint, self.start)
         except links.LinkError as error:
             failure = self._failed(
                 errors.endpoint_failed,
@@ -294,6 +281,25 @@
     return head.status == http.HTTPStatus.OK and kind.startswith(_EVENT_STREAM)
 
 
+async def _open_checked(
+    entry: entry_state.Entry,
+    endpoint: endpoints.Endpoint,
+    start: messages.RequestStart,
+) -> links.Link:
+    """Take a link; one for a non-idempotent request must answer first."""
+    link = await entry.pool.take(endpoint.vm)
+    if start.idempotent:
+        return link
+    checked = False
+    try:
+        await receiving.check_alive(link, entry.state.hello())
+        checked = True
+    finally:
+        if not checked:
+            await link.close()
+    return link
+
+
 def _note_result(attempt: Attempt, first_part_s: float | None) -> None:
     """Note an answer or, without a time, a failure of the endpoint."""
     entry = attempt.entry
