--- a/measures/registry.py
+++ b/measures/registry.py
@@ -4,7 +4,12 @@
 from collections import abc
 
 from measures import (
+    affinity,
     at_most_once,
+    cold_start,
+    configuration,
+    data_centre_change,
+    overload,
     rebalance_cost,
     reports,
     request_path,
@@ -15,8 +20,13 @@
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
+        'data_centre_change': data_centre_change.measure,
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
+        'cold_start': cold_start.measure,
+        'overload': overload.measure,
+        'affinity': affinity.measure,
+        'configuration': configuration.measure,
         'skew': skew.measure,
         'rebalance_cost': rebalance_cost.measure,
     },
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -9,10 +9,11 @@
 import attrs
 import curio
 
-from camphorstair_agent import claiming, keyed, orders, relay
-from camphorstair_core import admission, ownership, vms
+from camphorstair_agent import claiming, endpoint_watch, keyed, orders, relay
+from camphorstair_core import admission, ownership, returning, vms
 from camphorstair_runtime import (
     announcing,
+    clocks,
     following,
     leases,
     logs,
@@ -36,6 +37,7 @@
     checked: settings.AgentSettings
     state: node.NodeState
     gate: admission.Admission
+    outage: returning.Outage = attrs.field(factory=returning.Outage)
 
     def refresh(self) -> None:
         """Take over the limits and outages of the rules in force."""
@@ -53,6 +55,13 @@
             name in rule_set.endpoints_out
             or self.state.identity.data_centre in rule_set.data_centres_out
         )
+        begins_cold = returning.note_outage(
+            self.outage,
+            out=self.gate.out,
+            now_s=clocks.monotonic_s(),
+        )
+        if begins_cold:
+            admission.become_cold(self.gate)
         self.state.load = self.gate.load()
 
 
@@ -100,6 +109,7 @@
         )
         await group.spawn(follower.run)
         await group.spawn(claimer.run)
+        await group.spawn(_watch_endpoint, agent)
         await group.spawn(_announce_presence, agent)
         _LOG.info('listening', extra={'peers': checked.listen.peers})
         await terminated.recv(1)
@@ -136,6 +146,11 @@
     )
 
 
+async def _watch_endpoint(agent: Agent) -> None:
+    address = agent.checked.endpoint.address
+    await endpoint_watch.EndpointWatch(address, agent.gate).run()
+
+
 async def _announce_presence(agent: Agent) -> None:
     await announcing.announce_presence(agent.state)
     await curio.Event().wait()
