--- a/measures/change_fakes.py
+++ b/measures/change_fakes.py
@@ -137,7 +137,7 @@
     hints: affinity.CacheHints = attrs.field(factory=affinity.CacheHints)
 
     def in_flight(self) -> int:
-        """Return how many requests are in progress."""
+        """Return how many of its requests are in progress."""
         return sum(row.own_in_flight for row in self.table.rows.values())
 
 
--- a/measures/registry.py
+++ b/measures/registry.py
@@ -8,6 +8,7 @@
     at_most_once,
     cold_start,
     configuration,
+    control_cost,
     data_centre_change,
     overload,
     rebalance_cost,
@@ -20,6 +21,7 @@
 
 MEASURES: abc.Mapping[str, Measure] = types.MappingProxyType(
     {
+        'control_cost': control_cost.measure,
         'data_centre_change': data_centre_change.measure,
         'request_path': request_path.measure,
         'at_most_once': at_most_once.measure,
