Measure overload with the queue of the agent

Ruled out: a change of the weights or of the queue; none was needed. Change: the fake agents of the measure hold the product's queue, and a request whose turn is lost is tried elsewhere within the retry budget.

--- a/measures/overload.py
+++ b/measures/overload.py
@@ -10,7 +10,14 @@
 
 import attrs
 
-from camphorstair_core import admission, choice, endpoints, retries
+from camphorstair_core import (
+    admission,
+    choice,
+    endpoints,
+    queueing,
+    retries,
+    rules,
+)
 from measures import reports, simulated_fleet
 
 ENTRIES = 4
@@ -31,14 +38,36 @@
 
 @attrs.define(eq=False)
 class Work:
-    """A request that an endpoint runs."""
+    """A request and where it stands.
+
+    :ivar left_s: Work that is left, at full speed.
+    :ivar entry: The entry that it came to, if choice is on.
+    :ivar wish: What its entry needs of an endpoint.
+    :ivar row: The endpoint that has it.
+    :ivar waiter: Its place at that endpoint's agent.
+    """
 
     organisation: int
     deadline_s: float
     left_s: float
-    entry: simulated_fleet.Entry | None = None
+    entry: simulated_fleet.Entry
+    wish: choice.Wish
     row: endpoints.Endpoint | None = None
-    generation: int = 0
+    waiter: queueing.Waiter | None = None
+
+
+@attrs.define
+class Agent:
+    """An agent and its endpoint.
+
+    :ivar running: What the endpoint works on.
+    :ivar waiting: Requests in the queue, by the number of their place.
+    """
+
+    gate: admission.Admission
+    queue: queueing.Queue = attrs.field(factory=queueing.Queue)
+    running: list[Work] = attrs.field(factory=list)
+    waiting: dict[int, Work] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -51,76 +80,108 @@
     generator: random.Random
     limited: bool
     entries: list[simulated_fleet.Entry]
-    gates: dict[str, admission.Admission]
-    running: dict[str, list[Work]]
+    agents: dict[str, Agent]
     turn: abc.Iterator[str]
     now_s: float = 0
     useful: dict[int, int] = attrs.field(factory=dict)
 
     def arrive(self, organisation: int) -> None:
         """Let a request come to some entry."""
-        left_s = self.generator.uniform(0.5, 1.5) * SERVICE_S
-        work = Work(organisation, self.now_s + DEADLINE_S, left_s)
-        if self.limited:
-            self._forward(work)
-        else:
-            self.running[next(self.turn)].append(work)
+        work = Work(
+            organisation,
+            self.now_s + DEADLINE_S,
+            self.generator.uniform(0.5, 1.5) * SERVICE_S,
+            self.generator.choice(self.entries),
+            choice.Wish(simulated_fleet.SERVICE),
+        )
+        if not self.limited:
+            self.agents[next(self.turn)].running.append(work)
+            return
+        rows = work.entry.table.rows.values()
+        in_flight = sum(row.own_in_flight for row in rows)
+        retries.note_request(work.entry.budget, in_flight)
+        self._forward(work)
 
     def tick(self) -> None:
         """Let all endpoints work for one tick."""
         self.now_s += TICK_S
-        for name, works in self.running.items():
+        for agent in self.agents.values():
+            works = agent.running
             speed = min(1, simulated_fleet.LIMIT / max(1, len(works)))
             for work in works:
                 work.left_s -= TICK_S * speed
-            self.running[name] = [one for one in works if one.left_s > 0]
+            agent.running = [one for one in works if one.left_s > 0]
             for done in filter(_is_done, works):
-                self._finish(name, done)
+                self._finish(agent, done)
+            self._advance(agent)
 
     def _forward(self, work: Work) -> None:
-        entry = self.generator.choice(self.entries)
-        in_flight = sum(row.own_in_flight for row in entry.table.rows.values())
-        retries.note_request(entry.budget, in_flight)
-        wish = choice.Wish(simulated_fleet.SERVICE)
-        for _ in range(retries.MAX_ATTEMPTS):
-            row = entry.choose(wish, self.now_s, self.generator)
-            if row is None or self._admit(entry, row, work):
+        while len(work.wish.tried) < retries.MAX_ATTEMPTS:
+            row = work.entry.choose(work.wish, self.now_s, self.generator)
+            if row is None or self._offer(row, work):
                 return
-            wish.tried.add(row.vm.name)
-            if not retries.take(entry.budget):
+            work.wish.tried.add(row.vm.name)
+            if not retries.take(work.entry.budget):
                 return
 
-    def _admit(
-        self,
-        entry: simulated_fleet.Entry,
-        row: endpoints.Endpoint,
-        work: Work,
-    ) -> bool:
-        gate = self.gates[row.vm.name]
-        admitted = admission.refusal(gate) is None
-        if admitted:
-            work.generation = admission.start(gate)
+    def _offer(self, row: endpoints.Endpoint, work: Work) -> bool:
+        """Offer a request to an agent; tell whether it took or queued it."""
+        agent = self.agents[row.vm.name]
+        waiter, changed = queueing.arrive(
+            agent.queue,
+            agent.gate,
+            str(work.organisation),
+            rules.Priority.normal,
+            work.deadline_s,
+            self.now_s,
+        )
+        taken = waiter.turn is not queueing.Turn.refused
+        if taken:
             row.own_in_flight += 1
-            work.entry = entry
             work.row = row
-            self.running[row.vm.name].append(work)
-        endpoints.note_load(row, gate.load(), self.now_s)
-        return admitted
+            work.waiter = waiter
+            agent.waiting[waiter.number] = work
+        if waiter.turn is queueing.Turn.admitted:
+            self._settle(agent, waiter)
+        for other in changed:
+            self._settle(agent, other)
+        endpoints.note_load(row, agent.gate.load(), self.now_s)
+        return taken
+
+    def _advance(self, agent: Agent) -> None:
+        for waiter in queueing.advance(agent.queue, agent.gate, self.now_s):
+            self._settle(agent, waiter)
+
+    def _settle(self, agent: Agent, waiter: queueing.Waiter) -> None:
+        """Run a request whose turn has come, or try it elsewhere."""
+        work = agent.waiting.pop(waiter.number)
+        if waiter.turn is queueing.Turn.admitted:
+            agent.running.append(work)
+            return
+        self._leave(work)
+        if retries.take(work.entry.budget):
+            self._forward(work)
 
-    def _finish(self, name: str, work: Work) -> None:
+    def _leave(self, work: Work) -> None:
+        if work.row is not None:
+            work.row.own_in_flight -= 1
+            work.wish.tried.add(work.row.vm.name)
+
+    def _finish(self, agent: Agent, work: Work) -> None:
         if self.now_s <= work.deadline_s:
             count = self.useful.get(work.organisation, 0)
             self.useful[work.organisation] = count + 1
-        if work.row is not None:
-            gate = self.gates[name]
-            admission.finish(
-                gate,
-                work.generation,
-                admission.Outcome.whole,
-                self.now_s,
-            )
-            work.row.own_in_flight -= 1
-            endpoints.note_load(work.row, gate.load(), self.now_s)
+        if work.row is None or work.waiter is None:
+            return
+        queueing.note_end(agent.queue, work.waiter)
+        admission.finish(
+            agent.gate,
+            work.waiter.generation,
+            admission.Outcome.whole,
+            self.now_s,
+        )
+        self._leave(work)
+        endpoints.note_load(work.row, agent.gate.load(), self.now_s)
 
 
 def measure(seed: int) -> reports.Report:
@@ -182,13 +243,11 @@
 def _make(seed: int, *, limited: bool) -> Fleet:
     listed = simulated_fleet.vm_list(ENTRIES, AGENTS)
     names = [vm.name for vm in listed if vm.service]
-    gates = {name: simulated_fleet.warm_gate() for name in names}
     return Fleet(
         random.Random(seed),
         limited,
         simulated_fleet.make_entries(listed),
-        gates,
-        {name: [] for name in names},
+        {name: Agent(simulated_fleet.warm_gate()) for name in names},
         itertools.cycle(names),
     )
 
