--- a/packages/runtime/src/camphorstair_runtime/settings.py
+++ b/packages/runtime/src/camphorstair_runtime/settings.py
@@ -18,7 +18,12 @@
 
 @attrs.define
 class Node:
-    """Where and what the process is."""
+    """Where and what the process is.
+
+    :ivar name: Name of the process, unique in the fleet, as in the VM list.
+    :ivar region: Its region.
+    :ivar data_centre: Its data centre, as in the VM list and the rules.
+    """
 
     name: str
     region: str
@@ -27,7 +32,11 @@
 
 @attrs.define
 class EntryListeners:
-    """Addresses of an entry, ``IP:port``."""
+    """Addresses of an entry, ``IP:port``.
+
+    :ivar callers: Where callers connect, by HTTP.
+    :ivar peers: Where the other processes connect.
+    """
 
     callers: str
     peers: str
@@ -35,14 +44,21 @@
 
 @attrs.define
 class AgentListeners:
-    """Address of an agent, ``IP:port``."""
+    """Address of an agent, ``IP:port``.
+
+    :ivar peers: Where the other processes connect.
+    """
 
     peers: str
 
 
 @attrs.define
 class Platform:
-    """Addresses of the key-value service and of the VM list."""
+    """Addresses of the key-value service and of the VM list.
+
+    :ivar key_value: Members of the key-value service, in the order tried.
+    :ivar vm_list: The VM list.
+    """
 
     key_value: list[str]
     vm_list: str
@@ -50,7 +66,11 @@
 
 @attrs.define
 class EndpointSettings:
-    """The endpoint before which an agent stands."""
+    """The endpoint before which an agent stands.
+
+    :ivar address: ``IP:port`` of the endpoint.
+    :ivar service: The service that it belongs to, as in the rules.
+    """
 
     address: str
     service: str
@@ -76,21 +96,30 @@
 
 @attrs.define
 class Logging:
-    """What is logged: DEBUG, INFO, WARNING or ERROR."""
+    """What is logged: DEBUG, INFO, WARNING or ERROR.
+
+    :ivar level: The lowest level that is logged.
+    """
 
     level: str = 'INFO'
 
 
 @attrs.define
 class Shutdown:
-    """Upper bound of a graceful shutdown."""
+    """Upper bound of a graceful shutdown.
+
+    :ivar limit_s: Above 0; reaching it is logged as an error.
+    """
 
     limit_s: float = 60.0
 
 
 @attrs.define
 class Directory:
-    """How long callers may keep an answer of the directory."""
+    """How long callers may keep an answer of the directory.
+
+    :ivar answer_lifetime_s: Above 0; a leaving entry serves for as long.
+    """
 
     answer_lifetime_s: float = 30.0
 
--- /dev/null
+++ b/tests/test_settings_reference.py
@@ -0,0 +1,18 @@
+"""The settings reference is what the settings classes say."""
+
+import pathlib
+
+from tools import settings_reference
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_page_is_made_from_the_classes() -> None:
+    page = ROOT / 'docs' / 'operators' / 'settings.md'
+    assert page.read_text(encoding='utf-8') == settings_reference.reference()
+
+
+def test_every_setting_has_a_meaning() -> None:
+    rows = settings_reference.reference().split('\n')
+    empty = [row for row in rows if row.endswith('|  |')]
+    assert not empty
