Stop the site that make up leaves running

Cause: make up blocked SIGINT and SIGTERM before it started the processes; a process inherits what is blocked, so none could be stopped, and Ctrl-C waited for 20 s for each and then killed it. Seen in a run by hand: /proc/PID/status showed both signals blocked. Ruled out: the graceful shutdown itself; make demo stops all with exit code 0. Change: the signals are blocked after all processes have started.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -12,6 +12,7 @@
 from camphorstair_standins import fleet, loopback, sites
 
 ORGANISATION = 'gravier'
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 OUT_RULE = 'out data_centre=charny  # demo: maintenance\n'
 
 
@@ -87,7 +88,12 @@
 
 
 def keep_running(running: fleet.Fleet) -> None:
-    """Print the addresses and wait for Ctrl-C."""
+    """Print the addresses and wait for Ctrl-C.
+
+    The signals are blocked only now: a process inherits what is blocked when
+    it is started, and could not be stopped.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     say(
         json.dumps(
             {
@@ -102,7 +108,7 @@
             },
         ),
     )
-    signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    signal.sigwait(STOP_SIGNALS)
 
 
 def main() -> None:
@@ -110,9 +116,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--keep-running', action='store_true')
     chosen = parser.parse_args()
-    if chosen.keep_running:
-        signals = {signal.SIGINT, signal.SIGTERM}
-        signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory(prefix='camphorstair-') as directory:
         running = fleet.Fleet(pathlib.Path(directory), sites.LEVIS)
         try:
