Test a whole fleet with TLS

Cause: TLS was tested between two processes only; callers' TLS and the command line over mutual TLS had not run. Ruled out: a change of the product; none was needed.

--- /dev/null
+++ b/tests/test_tls_fleet.py
@@ -0,0 +1,67 @@
+"""A whole fleet of processes with TLS on every listener of its own."""
+
+import json
+import pathlib
+import ssl
+from urllib import request
+
+import certificates
+import pytest
+
+from camphorstair_core import vms
+from camphorstair_standins import fleet, sites
+
+SITE = sites.Site(
+    region='qc-est',
+    data_centres=('levis-nord', 'charny'),
+    entries=1,
+    endpoints={'redacteur': 1, 'comptoir': 1},
+    rules=sites.LEVIS_RULES,
+)
+DRAFT = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
+
+
+def _secure(directory: pathlib.Path, text: str) -> str:
+    files = (
+        f'certificate = "{directory}/fleet.pem"',
+        f'private_key = "{directory}/fleet-key.pem"',
+        f'authority = "{directory}/fleet-authority.pem"',
+    )
+    return text.replace('plain = true', '\n'.join(files))
+
+
+def _post(running: fleet.Fleet, path: str, body: object) -> bytes:
+    directory = running.directory
+    context = ssl.create_default_context(
+        cafile=str(directory / 'fleet-authority.pem'),
+    )
+    address = running.entries[0].callers_address
+    call = request.Request(
+        f'https://{address}{path}',
+        json.dumps(body).encode(),
+        {'authorization': f'Bearer {running.token("gravier")}'},
+    )
+    with request.urlopen(call, context=context, timeout=30) as answer:
+        return bytes(answer.read())
+
+
+def test_a_fleet_with_tls_serves_and_takes_changes(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    certificates.write(tmp_path, 'fleet')
+    plain_text = fleet.settings_text
+
+    def settings_text(running: fleet.Fleet, vm: vms.Vm) -> str:
+        return _secure(tmp_path, plain_text(running, vm))
+
+    monkeypatch.setattr(fleet, 'settings_text', settings_text)
+    running = fleet.Fleet(tmp_path, SITE)
+    try:
+        running.start()
+        draft = _post(running, '/v1/chat/completions', DRAFT)
+        booking = _post(running, '/bookings', {'yard': 4})
+    finally:
+        running.processes.stop()
+    assert draft.rstrip().endswith(b'data: [DONE]')
+    assert b'"booking":1' in booking
