--- a/tests/test_tls_fleet.py
+++ b/tests/test_tls_fleet.py
@@ -18,7 +18,6 @@
     endpoints={'redacteur': 1, 'comptoir': 1},
     rules=sites.LEVIS_RULES,
 )
-DRAFT = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
 
 
 def _secure(directory: pathlib.Path, text: str) -> str:
@@ -59,7 +58,8 @@
     running = fleet.Fleet(tmp_path, SITE)
     try:
         running.start()
-        draft = _post(running, '/v1/chat/completions', DRAFT)
+        body = {'model': 'redacteur-8b', 'stream': True, 'messages': []}
+        draft = _post(running, '/v1/chat/completions', body)
         booking = _post(running, '/bookings', {'yard': 4})
     finally:
         running.processes.stop()
