--- a/packages/runtime/src/camphorstair_runtime/signals.py
+++ b/packages/runtime/src/camphorstair_runtime/signals.py
@@ -16,6 +16,7 @@
     :returns: A socket on which a byte arrives for each signal.
     """
     receiver, sender = socket.socketpair()
+    # The method takes its flag by position only.
     sender.setblocking(False)  # noqa: WPS425
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _ignore)
