--- a/measures/control_cost.py
+++ b/measures/control_cost.py
@@ -8,17 +8,15 @@
 from collections import abc
 
 import attrs
-import curio
 
-from camphorstair_core import messages, spreading, vms
-from camphorstair_runtime import following, list_following, peers, settings
+from camphorstair_core import spreading, vms
+from camphorstair_runtime import following, list_following
 from camphorstair_standins import fleet, loopback, sites
-from measures import control_slopes, reports
+from measures import control_slopes, reports, statuses
 
 ENTRY_COUNTS = (3, 9, 18)
 WINDOW_S = 12.0
 SETTLE_S = 4.0
-CALL_LIMIT_S = 5.0
 MIB = 1_048_576
 US_IN_S = 1_000_000
 KIB = 1024
@@ -131,9 +129,9 @@
 def _largest(running: fleet.Fleet, role: vms.VmRole) -> Usage:
     """Return the largest usage of the processes of a role in a window."""
     listed = [vm for vm in running.listed if vm.role is role]
-    before = [_status(vm) for vm in listed]
+    before = [statuses.read(vm) for vm in listed]
     time.sleep(WINDOW_S)
-    after = [_status(vm) for vm in listed]
+    after = [statuses.read(vm) for vm in listed]
     pairs = list(zip(before, after, strict=True))
     processor_s = max(new.processor_s - old.processor_s for old, new in pairs)
     control = max(new.control_bytes - old.control_bytes for old, new in pairs)
@@ -144,19 +142,6 @@
     )
 
 
-def _status(vm: vms.Vm) -> messages.NodeStatus:
-    reply = curio.run(
-        peers.call,
-        settings.split_address(vm.peers_address),
-        None,
-        messages.StatusRequest(),
-        CALL_LIMIT_S,
-    )
-    if not isinstance(reply, messages.NodeStatus):
-        raise loopback.WaitError(f'{vm.name} has no status')
-    return reply
-
-
 def _add(figures: dict[str, float], name: str, usage: Usage) -> None:
     figures[f'{name}_processor_percent'] = usage.processor_percent
     figures[f'{name}_memory_mib'] = usage.memory_mib
--- a/measures/request_path.py
+++ b/measures/request_path.py
@@ -8,10 +8,10 @@
 
 import curio
 
-from camphorstair_core import messages, vms
-from camphorstair_runtime import http_client, http_messages, peers, settings
+from camphorstair_core import messages
+from camphorstair_runtime import http_client, http_messages
 from camphorstair_standins import fleet, loopback, sites
-from measures import reports
+from measures import reports, statuses
 
 ORGANISATION = 'gravier'
 STREAMS = 32
@@ -20,7 +20,6 @@
 TOKEN_INTERVAL_S = 0.008
 US_IN_S = 1_000_000
 BYTES_IN_MB = 1_000_000
-CALL_LIMIT_S = 2.0
 
 ENTRY_TARGET_US = 130
 MEMORY_TARGET_MB = 32
@@ -53,11 +52,11 @@
 def _measure(running: fleet.Fleet, seed: int) -> reports.Report:
     entry = running.entries[0]
     agent = running.agents[0]
-    idle = (_status(entry), _status(agent))
+    idle = (statuses.read(entry), statuses.read(agent))
     _stream_many(running, entry.callers_address)
-    before = (_status(entry), _status(agent))
+    before = (statuses.read(entry), statuses.read(agent))
     _stream_many(running, entry.callers_address)
-    after = (_status(entry), _status(agent))
+    after = (statuses.read(entry), statuses.read(agent))
     through = _single_s(running, entry.callers_address)
     direct = _single_s(running, running.endpoint_addresses[agent.name])
     added_s = statistics.median(through) - statistics.median(direct)
@@ -87,19 +86,6 @@
     return spent_s * US_IN_S / (STREAMS * TOKENS)
 
 
-def _status(vm: vms.Vm) -> messages.NodeStatus:
-    reply = curio.run(
-        peers.call,
-        settings.split_address(vm.peers_address),
-        None,
-        messages.StatusRequest(),
-        CALL_LIMIT_S,
-    )
-    if not isinstance(reply, messages.NodeStatus):
-        raise loopback.WaitError(f'{vm.name} did not answer')
-    return reply
-
-
 def _stream_many(running: fleet.Fleet, address: str) -> None:
     """Stream answers side by side."""
     curio.run(_stream_side_by_side, address, running.token(ORGANISATION))
