Serve the users' platform: adapter, fleet core and a whole thin path

Cause: the product knew only its own stand-ins, with an agent before each endpoint. On the platform callers come to the entries by the directory, and the entries go to the endpoints themselves; all that lasts lies in the store.

Change: platform/ decodes settings, configuration, registrations, headers and store calls into typed messages; camphorstair_core.fleet decides (catalogue, roster, placement, waiting, windows, ejection, membership); camphorstair.fleet does the I/O. http_client can keep a connection, skip an answer of another request and take the end of a connection as the end of a body.

--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -5,7 +5,7 @@
 import attrs
 import curio
 
-from camphorstair_agent import event_stream, keyed, turns
+from camphorstair_agent import keyed, turns
 from camphorstair_core import (
     admission,
     errors,
--- /dev/null
+++ b/packages/core/src/camphorstair_core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a fleet whose state lies in the platform's store."""
--- /dev/null
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -0,0 +1,110 @@
+"""Chooses the endpoint of a request by the time until its first token.
+
+What this entry has sent is known at once; what others have sent shows in the
+endpoint's last report. An endpoint's work is estimated as what it reported,
+plus what was sent since, less what ended since.
+"""
+
+import random
+
+import attrs
+
+from camphorstair_core.fleet import ejection, roster
+
+FAR_PENALTY = 0.5
+EJECTED_PENALTY = 1000.0
+REPORT_LIFE_S = 1.0
+
+
+@attrs.define(eq=False)
+class Load:
+    """The work of an endpoint.
+
+    :ivar running: Requests of this entry at it.
+    :ivar reported: Requests of all that it reported, running and waiting.
+    :ivar reported_own: Requests of this entry when it reported.
+    :ivar reported_s: When it reported; 0 if it never has.
+    :ivar waiting: Waiting requests that it reported.
+    :ivar read_tokens: Prompt tokens of this entry's requests that have had no
+        answer.
+    """
+
+    running: int = 0
+    reported: int = 0
+    reported_own: int = 0
+    reported_s: float = 0
+    waiting: int = 0
+    read_tokens: float = 0
+
+
+@attrs.define(eq=False)
+class Candidate:
+    """An endpoint with its work and its health.
+
+    :ivar endpoint: The endpoint.
+    :ivar load: Its work.
+    :ivar health: How its last answers went.
+    """
+
+    endpoint: roster.Endpoint
+    load: Load
+    health: ejection.Health
+
+
+def note_report(load: Load, running: int, waiting: int, now_s: float) -> None:
+    """Take over what an endpoint reported of its work.
+
+    :param running: Requests of all callers that run.
+    :param waiting: Requests of all callers that wait.
+    """
+    load.reported = running + waiting
+    load.waiting = waiting
+    load.reported_own = load.running
+    load.reported_s = now_s
+
+
+def estimated_work(load: Load, now_s: float) -> float:
+    """Return how many requests an endpoint has, of all callers."""
+    if load.reported_s and now_s - load.reported_s < REPORT_LIFE_S:
+        changed = load.running - load.reported_own
+        return max(load.reported + changed, load.running)
+    return load.running
+
+
+def free_slots(candidate: Candidate, allowed: int, now_s: float) -> float:
+    """Return how many more requests an endpoint may get.
+
+    :param allowed: Most requests that may be at it.
+    """
+    return allowed - estimated_work(candidate.load, now_s)
+
+
+def choose(
+    candidates: list[Candidate],
+    data_centre: str,
+    now_s: float,
+    generator: random.Random,
+) -> Candidate | None:
+    """Return the candidate with the least expected wait, near ones first.
+
+    Ties are broken at random, so that entries that do not see each other
+    spread out.
+
+    :param candidates: Endpoints that may be used.
+    :param data_centre: The data centre of this entry.
+    """
+    if not candidates:
+        return None
+    generator.shuffle(candidates)
+    return min(candidates, key=lambda one: _cost(one, data_centre, now_s))
+
+
+def _cost(candidate: Candidate, data_centre: str, now_s: float) -> float:
+    registration = candidate.endpoint.registration
+    work = estimated_work(candidate.load, now_s)
+    cost = work / max(1, registration.slots)
+    if registration.data_centre != data_centre:
+        cost += FAR_PENALTY / max(1, registration.slots)
+    if ejection.is_ejected(candidate.health, now_s):
+        cost += EJECTED_PENALTY
+    return cost * max(1, candidate.health.slowness)
--- /dev/null
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -0,0 +1,81 @@
+"""The order in which requests of one service get an endpoint.
+
+Written for the load in which more requests come than the endpoints can start
+in time. Requests that can still be timely go first: one that is late already
+loses little by waiting longer, and would make the next ones late too. Late
+requests use what is left, oldest first. Within each class the organisation's
+priority decides before the route's, then how little the organisation has in
+progress. A request whose answer can't be whole by its deadline is given up.
+"""
+
+import attrs
+
+AGING_S = 1.0
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that needs an endpoint.
+
+    :ivar organisation: Who sent it.
+    :ivar priority: Its rank; 0 is the most urgent.
+    :ivar arrived_s: When it came.
+    :ivar timely_until_s: Latest start of a timely answer.
+    :ivar useful_until_s: Latest start of a whole answer.
+    :ivar excluded: Endpoints that it may not be sent to.
+    """
+
+    organisation: str
+    priority: int
+    arrived_s: float
+    timely_until_s: float
+    useful_until_s: float
+    excluded: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Queue:
+    """What waits, and what each organisation has in progress.
+
+    :ivar waiters: Those that wait.
+    :ivar in_progress: Requests at endpoints, by organisation.
+    """
+
+    waiters: list[Waiter] = attrs.field(factory=list)
+    in_progress: dict[str, int] = attrs.field(factory=dict)
+
+
+def in_order(queue: Queue, now_s: float) -> list[Waiter]:
+    """Return those that wait, the next one first."""
+
+    def rank(waiter: Waiter) -> tuple[bool, int, int, float]:
+        aged = int((now_s - waiter.arrived_s) / AGING_S)
+        held = queue.in_progress.get(waiter.organisation, 0)
+        late = now_s > waiter.timely_until_s
+        return late, waiter.priority - aged, held, waiter.arrived_s
+
+    return sorted(queue.waiters, key=rank)
+
+
+def given_up(queue: Queue, now_s: float) -> list[Waiter]:
+    """Take out and return those whose answer can't be whole in time."""
+    lost = [one for one in queue.waiters if now_s >= one.useful_until_s]
+    for waiter in lost:
+        queue.waiters.remove(waiter)
+    return lost
+
+
+def start(queue: Queue, waiter: Waiter) -> None:
+    """Note that a request got an endpoint."""
+    queue.waiters.remove(waiter)
+    held = queue.in_progress.get(waiter.organisation, 0)
+    queue.in_progress[waiter.organisation] = held + 1
+
+
+def finish(queue: Queue, organisation: str) -> None:
+    """Note that a request has left its endpoint."""
+    held = queue.in_progress.get(organisation, 0) - 1
+    if held > 0:
+        queue.in_progress[organisation] = held
+    else:
+        queue.in_progress.pop(organisation, None)
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -0,0 +1,216 @@
+"""Gives requests their endpoints, and lets them wait for one."""
+
+import http
+import logging
+
+import attrs
+import curio
+
+from camphorstair.fleet import state
+from camphorstair_core import errors
+from camphorstair_core.fleet import (
+    ejection,
+    placement,
+    roster,
+    waiting,
+    windows,
+)
+from camphorstair_runtime import clocks
+
+# Requests that may wait at an engine, so that it starts one without a pause.
+ENGINE_BACKLOG = 1
+RETRY_AFTER_S = 0.5
+MOST_WAITING = 400
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A request that asks for an endpoint.
+
+    :ivar waiter: Its place in the queue.
+    :ivar granted: The endpoint, once it has one.
+    :ivar decided: Set when it has one or is given up.
+    """
+
+    waiter: waiting.Waiter
+    granted: placement.Candidate | None = None
+    decided: curio.Event = attrs.field(factory=curio.Event)
+
+
+@attrs.define(eq=False)
+class Dispatcher:
+    """Hands out the endpoints of one entry.
+
+    :ivar entry: The entry's state.
+    :ivar tickets: Those that wait, by their place in the queue.
+    """
+
+    entry: state.FleetEntry
+    tickets: dict[waiting.Waiter, Ticket] = attrs.field(factory=dict)
+
+    async def acquire(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+    ) -> placement.Candidate:
+        """Return an endpoint for a request, after a wait if all are full.
+
+        :raises errors.RequestError: if there is none, or none in time.
+        """
+        self._check_service(service, waiter)
+        ticket = Ticket(waiter)
+        queue = self.entry.queue(service)
+        queue.waiters.append(waiter)
+        self.tickets[waiter] = ticket
+        await self.advance(service)
+        try:
+            await ticket.decided.wait()
+        finally:
+            self.tickets.pop(waiter, None)
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
+        if ticket.granted is None:
+            raise refusal(errors.overloaded, 'no endpoint was free in time')
+        return ticket.granted
+
+    async def release(
+        self,
+        service: str,
+        organisation: str,
+        candidate: placement.Candidate,
+    ) -> None:
+        """Note that a request has left its endpoint."""
+        candidate.load.running -= 1
+        waiting.finish(self.entry.queue(service), organisation)
+        await self.advance(service)
+
+    async def advance_all(self) -> None:
+        """Give free endpoints to those that wait."""
+        for service in list(self.entry.queues):
+            await self.advance(service)
+
+    async def advance(self, service: str) -> None:
+        """Give free endpoints of a service to those that wait."""
+        queue = self.entry.queue(service)
+        now_s = clocks.monotonic_s()
+        for lost in waiting.given_up(queue, now_s):
+            await self.tickets[lost].decided.set()
+        if not queue.waiters:
+            return
+        usable = self._usable(service)
+        for waiter in waiting.in_order(queue, now_s):
+            candidate = self._choose(service, usable, waiter, now_s)
+            if candidate is not None:
+                waiting.start(queue, waiter)
+                self._send_to(candidate, now_s)
+                ticket = self.tickets[waiter]
+                ticket.granted = candidate
+                await ticket.decided.set()
+
+    def _check_service(self, service: str, waiter: waiting.Waiter) -> None:
+        """Refuse at once what no endpoint can take for now."""
+        queue = self.entry.queue(service)
+        if len(queue.waiters) >= MOST_WAITING:
+            raise refusal(errors.overloaded, f'{MOST_WAITING} requests wait')
+        usable = self._usable(service)
+        names = {one.endpoint.registration.endpoint for one in usable}
+        if not names - waiter.excluded:
+            raise refusal(
+                errors.no_endpoint,
+                f'no endpoint of service {service} takes requests',
+            )
+
+    def _usable(self, service: str) -> list[placement.Candidate]:
+        """Return the endpoints that may be used; ejected ones if no other."""
+        now_s = clocks.monotonic_s()
+        found = [
+            self.entry.candidate(one)
+            for one in roster.usable(self.entry.endpoints, service)
+            if not roster.group_closed(one)
+        ]
+        sound = [
+            one for one in found if not ejection.is_ejected(one.health, now_s)
+        ]
+        return sound or found
+
+    def _choose(
+        self,
+        service: str,
+        usable: list[placement.Candidate],
+        waiter: waiting.Waiter,
+        now_s: float,
+    ) -> placement.Candidate | None:
+        free = [
+            one
+            for one in usable
+            if one.endpoint.registration.endpoint not in waiter.excluded
+            and self._admits(service, one, now_s)
+        ]
+        return placement.choose(
+            free,
+            self.entry.settings.data_centre,
+            now_s,
+            self.entry.generator,
+        )
+
+    def _admits(
+        self,
+        service: str,
+        candidate: placement.Candidate,
+        now_s: float,
+    ) -> bool:
+        allowed = candidate.endpoint.registration.slots
+        if self._is_engine(service):
+            allowed += ENGINE_BACKLOG
+        if placement.free_slots(candidate, allowed, now_s) < 1:
+            return False
+        if now_s >= candidate.endpoint.cold_deadline_s:
+            return True
+        name = candidate.endpoint.registration.endpoint
+        sent = self.entry.cold_window(name).count(now_s)
+        return sent < self._cold_limit(service)
+
+    def _send_to(self, candidate: placement.Candidate, now_s: float) -> None:
+        candidate.load.running += 1
+        if now_s < candidate.endpoint.cold_deadline_s:
+            name = candidate.endpoint.registration.endpoint
+            self.entry.cold_window(name).add(now_s)
+
+    def _cold_limit(self, service: str) -> int:
+        bounds = self.entry.settings.bounds
+        known = self.entry.configuration
+        found = known.services.get(service) if known else None
+        return windows.cold_limit(
+            found.cold_per_s if found else 0,
+            bounds.cold_factor,
+            bounds.cold_slack,
+            self.entry.entry_count.bound(),
+        )
+
+    def _is_engine(self, service: str) -> bool:
+        known = self.entry.configuration
+        found = known.services.get(service) if known else None
+        return found is not None and found.engine is not None
+
+
+def refusal(code: errors.ErrorCode, message: str) -> errors.RequestError:
+    """Return the refusal of a request that has not run."""
+    return errors.RequestError(code, message, retry_after_s=RETRY_AFTER_S)
+
+
+def status_of(error: errors.RequestError) -> int:
+    """Return the status of a request that ends without an answer.
+
+    Only a request that surely has not run is answered by a status that
+    promises so.
+    """
+    promises = error.verdict.value == 'not_run'
+    if promises or error.code.status not in {
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.REQUEST_TIMEOUT,
+    }:
+        return error.code.status
+    return http.HTTPStatus.BAD_GATEWAY
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -0,0 +1,138 @@
+"""Forwards a request: attempts until it is answered or given up."""
+
+import logging
+
+import attrs
+
+from camphorstair.fleet import attempts, calls, dispatch, state
+from camphorstair_core import errors, verdicts
+from camphorstair_core.fleet import ejection, placement, roster
+from camphorstair_runtime import clocks
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Forwarding:
+    """A request and the attempts at it.
+
+    :ivar entry: The entry's state.
+    :ivar dispatcher: Hands out endpoints.
+    :ivar call: The request.
+    """
+
+    entry: state.FleetEntry
+    dispatcher: dispatch.Dispatcher
+    call: calls.Call
+
+    async def run(self) -> None:
+        """Attempt the request until it is answered.
+
+        :raises errors.RequestError: if it is given up.
+        """
+        call = self.call
+        budget = self.entry.budget(call.service)
+        budget.requests.add(clocks.monotonic_s())
+        while True:
+            candidate = await self.dispatcher.acquire(call.service, call.waiter)
+            try:
+                failure = await self._attempt(candidate)
+            finally:
+                await self.dispatcher.release(
+                    call.service, call.organisation, candidate
+                )
+            if failure is None:
+                return
+            if not self._may_go_on(failure):
+                await self._give_up(failure)
+                return
+
+    async def _attempt(
+        self,
+        candidate: placement.Candidate,
+    ) -> attempts.AttemptError | None:
+        """Make an attempt; return why it failed, or None if it did not."""
+        attempt = attempts.Attempt(self.entry, self.call, candidate)
+        endpoint = candidate.endpoint.registration.endpoint
+        try:
+            await attempt.run()
+        except attempts.AttemptError as failure:
+            self.call.sent = False
+            self.call.attempts += failure.sent
+            self.call.waiter.excluded.add(endpoint)
+            self.call.verdict = verdicts.worst(
+                self.call.verdict, failure.verdict
+            )
+            self._note_failure(candidate, failure)
+            return failure
+        self.call.attempts += 1
+        self.call.verdict = verdicts.Verdict.ran
+        ejection.note_success(candidate.health)
+        self._log(endpoint, attempt)
+        return None
+
+    def _note_failure(
+        self,
+        candidate: placement.Candidate,
+        failure: attempts.AttemptError,
+    ) -> None:
+        now_s = clocks.monotonic_s()
+        peers = [
+            self.entry.candidate(one).health
+            for one in roster.usable(self.entry.endpoints, self.call.service)
+        ]
+        ejected = ejection.note_failure(candidate.health, peers, now_s)
+        _LOG.info(
+            'attempt failed: %s',
+            failure,
+            extra={
+                'request': self.call.given.attempt,
+                'endpoint': candidate.endpoint.registration.endpoint,
+                'verdict': failure.verdict.value,
+                'ejected': ejected,
+            },
+        )
+
+    def _may_go_on(self, failure: attempts.AttemptError) -> bool:
+        """Tell whether another attempt is allowed after a failure."""
+        call = self.call
+        if not verdicts.may_retry(
+            call.verdict, idempotent=call.route.repeatable()
+        ):
+            return False
+        if call.responder.torn or call.attempts >= call.route.max_attempts:
+            return False
+        if call.responder.started and not call.stream.numbered:
+            return False
+        if not failure.sent:
+            return True
+        budget = self.entry.budget(call.service)
+        entries = self.entry.entry_count.bound()
+        return budget.take(entries, clocks.monotonic_s())
+
+    async def _give_up(self, failure: attempts.AttemptError) -> None:
+        """Pass on the endpoint's failure, or raise what is known."""
+        call = self.call
+        if failure.answer is not None and not call.responder.started:
+            await call.responder.respond(failure.answer)
+            return
+        if call.verdict is verdicts.Verdict.not_run:
+            raise dispatch.refusal(errors.overloaded, str(failure))
+        raise attempts.broken_answer(str(failure))
+
+    def _log(self, endpoint: str, attempt: attempts.Attempt) -> None:
+        call = self.call
+        _LOG.info(
+            'answered',
+            extra={
+                'request': call.given.attempt,
+                'route': call.route.name,
+                'version': call.version,
+                'endpoint': endpoint,
+                'attempts': call.attempts,
+                'first_part_s': round(
+                    attempt.first_part_s - call.received_s, 3
+                ),
+                'whole_s': round(clocks.monotonic_s() - call.received_s, 3),
+            },
+        )
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -0,0 +1,72 @@
+"""Keeps this entry a member: a key in the store under a lease."""
+
+import logging
+
+import attrs
+import curio
+import msgspec
+
+from camphorstair.fleet import following, state
+from camphorstair_platform import store
+from camphorstair_runtime import clocks
+
+TTL_S = 2.0
+RENEW_INTERVAL_S = 0.6
+# A renewal later than this may come after the lease's end.
+WAIT_READY_S = 0.02
+LEAVE_LIMIT_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Joining:
+    """The membership of this entry.
+
+    :ivar entry: The entry's state.
+    :ivar client: The store.
+    :ivar lease: The lease of the key; 0 while there is none.
+    """
+
+    entry: state.FleetEntry
+    client: store.StoreClient
+    lease: int = 0
+
+    async def run(self) -> None:
+        """Join when the entry is ready, and renew until cancelled."""
+        while not self.entry.ready():
+            await curio.sleep(WAIT_READY_S)
+        while True:
+            started_s = clocks.monotonic_s()
+            try:
+                await self._join_or_renew()
+            except store.NoLeaseError as ended:
+                _LOG.warning('membership has ended: %s', ended)
+                self.lease = 0
+                continue
+            except store.StoreError as error:
+                _LOG.warning('membership not renewed: %s', error)
+            spent_s = clocks.monotonic_s() - started_s
+            await curio.sleep(max(0.1, RENEW_INTERVAL_S - spent_s))
+
+    async def leave(self) -> None:
+        """Take this entry out of the directory."""
+        name = self.entry.settings.name
+        try:
+            async with curio.timeout_after(LEAVE_LIMIT_S):
+                key = following.member_key(name)
+                await self.client.transact((), (), (key,))
+        except (store.StoreError, curio.TaskTimeout) as error:
+            _LOG.warning('the membership lapses by itself: %r', error)
+
+    async def _join_or_renew(self) -> None:
+        if self.lease:
+            await self.client.renew(self.lease)
+            return
+        lease = await self.client.grant(TTL_S)
+        member = self.entry.own_member()
+        content = msgspec.json.encode(member)
+        put = store.Put(following.member_key(member.name), content, lease)
+        await self.client.transact((), (put,))
+        self.lease = lease
+        _LOG.info('joined', extra={'lease': lease})
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -0,0 +1,140 @@
+"""Runs an entry of the fleet."""
+
+import logging
+import random
+
+import attrs
+import curio
+
+from camphorstair.fleet import (
+    directory,
+    dispatch,
+    following,
+    joining,
+    receiving,
+    state,
+)
+from camphorstair_core.fleet import membership, roster
+from camphorstair_platform import boot, store
+from camphorstair_runtime import (
+    clocks,
+    http_server,
+    logs,
+    settings,
+    shutdown,
+    signals,
+)
+
+TICK_S = 0.1
+# Time that stays for the last answers before the process is killed.
+GRACE_RESERVE_S = 0.7
+# Callers keep directory answers up to three times as long as they are told.
+ANSWER_KEPT_FACTOR = 3
+ANSWER_SLACK_S = 0.5
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Process:
+    """The parts of a running entry.
+
+    :ivar entry: The entry's state.
+    :ivar dispatcher: Hands out endpoints.
+    :ivar callers: The listener for callers.
+    :ivar joining: The membership.
+    """
+
+    entry: state.FleetEntry
+    dispatcher: dispatch.Dispatcher
+    callers: http_server.Server
+    joining: joining.Joining
+
+
+def build(told: boot.BootSettings) -> Process:
+    """Return an entry that has not started."""
+    entry = state.FleetEntry(told, random.SystemRandom())
+    dispatcher = dispatch.Dispatcher(entry)
+    receiver = receiving.Receiver(entry, dispatcher)
+    return Process(
+        entry,
+        dispatcher,
+        http_server.Server(receiver.handle, refuses_crossing=False),
+        joining.Joining(entry, store.StoreClient(told.store.address)),
+    )
+
+
+async def run(process: Process) -> None:
+    """Serve until a termination signal, then finish what runs."""
+    terminated = signals.watch()
+    entry = process.entry
+    told = entry.settings
+    answers = http_server.Server(directory.Directory(entry).handle)
+    follower = following.Follower(
+        entry, process.dispatcher, store.StoreClient(told.store.address)
+    )
+    async with curio.TaskGroup(wait=any) as group:
+        await _listen(group, told.callers_address, process.callers)
+        await _listen(group, told.ready_address, answers)
+        await _listen(group, told.directory_address, answers)
+        await group.spawn(follower.run)
+        member = await group.spawn(process.joining.run)
+        await group.spawn(_tick, process)
+        _LOG.info('listening', extra={'callers': told.callers_address})
+        await terminated.recv(1)
+        entry.leaving = True
+        await member.cancel()
+        await _depart(process)
+        await group.cancel_remaining()
+    _LOG.info('stopped')
+
+
+async def _listen(
+    group: curio.TaskGroup,
+    address: str,
+    server: http_server.Server,
+) -> None:
+    if address:
+        host, port = settings.split_address(address)
+        await group.spawn(curio.tcp_server(host, port, server.serve))
+
+
+async def _tick(process: Process) -> None:
+    """Let time take effect: what lapsed, what waited too long."""
+    entry = process.entry
+    while True:
+        await curio.sleep(TICK_S)
+        now_s = clocks.monotonic_s()
+        for name in roster.expire(entry.endpoints, now_s):
+            _LOG.info('endpoint did not come back', extra={'endpoint': name})
+        membership.expire(entry.members, now_s)
+        await entry.kept.expire(now_s)
+        await process.dispatcher.advance_all()
+
+
+async def _depart(process: Process) -> None:
+    """Serve while callers may come, finish what runs, then close."""
+    callers = process.callers
+    grace_s = process.entry.settings.bounds.grace_s - GRACE_RESERVE_S
+    deadline_s = clocks.monotonic_s() + grace_s
+    _LOG.info('shutting down', extra={'in_progress': len(callers.active)})
+    callers.begin_closing()
+    await process.joining.leave()
+    kept_s = membership.ANSWER_LIFE_S * ANSWER_KEPT_FACTOR + ANSWER_SLACK_S
+    await curio.sleep(min(kept_s, grace_s))
+    remaining_s = max(0, deadline_s - clocks.monotonic_s())
+    await shutdown.wait_idle(lambda: len(callers.active), remaining_s)
+    callers.end_idle()
+    await shutdown.wait_closed(callers.idle_connections)
+
+
+def main() -> None:
+    """Run an entry with the platform's settings."""
+    told = boot.decode(boot.path().read_bytes())
+    logs.set_up(told.name, 'INFO')
+    curio.run(run, build(told))
+    signals.ignore()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -0,0 +1,110 @@
+"""What an entry of the fleet knows and has in progress."""
+
+import random
+
+import attrs
+
+from camphorstair.fleet import connections
+from camphorstair_core.fleet import (
+    catalogue,
+    ejection,
+    knowledge,
+    membership,
+    placement,
+    roster,
+    waiting,
+    windows,
+)
+from camphorstair_platform import boot
+
+COLD_WINDOW_S = 1.0
+
+
+@attrs.define(eq=False)
+class FleetEntry:
+    """The state of an entry.
+
+    :ivar settings: What the platform told the process.
+    :ivar generator: Source of random choices.
+    :ivar configuration: The configuration in force; None before the first.
+    :ivar known: How old the knowledge of the store's content is.
+    :ivar listed: Whether the endpoints were read at least once.
+    :ivar endpoints: The endpoints.
+    :ivar members: The entries that serve.
+    :ivar entry_count: Upper bound of their number.
+    :ivar candidates: Work and health by endpoint.
+    :ivar cold_sends: Requests sent lately, by cold endpoint.
+    :ivar queues: Waiting requests by service.
+    :ivar budgets: Repeats by service.
+    :ivar kept: Idle connections to endpoints.
+    :ivar leaving: Whether the entry shuts down.
+    """
+
+    settings: boot.BootSettings
+    generator: random.Random
+    configuration: catalogue.Catalogue | None = None
+    known: knowledge.Knowledge = attrs.field(factory=knowledge.Knowledge)
+    listed: bool = False
+    endpoints: roster.Roster = attrs.field(factory=roster.Roster)
+    members: membership.Members = attrs.field(factory=membership.Members)
+    entry_count: windows.EntryCount = attrs.field(factory=windows.EntryCount)
+    candidates: dict[str, placement.Candidate] = attrs.field(factory=dict)
+    cold_sends: dict[str, windows.SlidingWindow] = attrs.field(factory=dict)
+    queues: dict[str, waiting.Queue] = attrs.field(factory=dict)
+    budgets: dict[str, windows.RetryBudget] = attrs.field(factory=dict)
+    kept: connections.Connections = attrs.field(
+        factory=connections.Connections,
+    )
+    leaving: bool = False
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return (
+            not self.leaving and self.configuration is not None and self.listed
+        )
+
+    def own_member(self) -> membership.Member:
+        """Return this entry as a member."""
+        settings = self.settings
+        return membership.Member(
+            settings.name,
+            settings.data_centre,
+            settings.callers_address,
+            f'{settings.address}:{settings.internal_port}',
+        )
+
+    def candidate(self, endpoint: roster.Endpoint) -> placement.Candidate:
+        """Return the work and health of an endpoint; a restarted one is new."""
+        name = endpoint.registration.endpoint
+        found = self.candidates.get(name)
+        if found is None or found.endpoint is not endpoint:
+            found = placement.Candidate(
+                endpoint, placement.Load(), ejection.Health()
+            )
+            self.candidates[name] = found
+        return found
+
+    def queue(self, service: str) -> waiting.Queue:
+        """Return the queue of a service."""
+        return self.queues.setdefault(service, waiting.Queue())
+
+    def budget(self, service: str) -> windows.RetryBudget:
+        """Return the budget of repeats of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            bounds = self.settings.bounds
+            window_s = bounds.retry_window_s
+            found = windows.RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                windows.SlidingWindow(window_s),
+                windows.SlidingWindow(window_s),
+            )
+            self.budgets[service] = found
+        return found
+
+    def cold_window(self, endpoint: str) -> windows.SlidingWindow:
+        """Return the requests that a cold endpoint got lately."""
+        return self.cold_sends.setdefault(
+            endpoint, windows.SlidingWindow(COLD_WINDOW_S)
+        )
--- a/packages/runtime/src/camphorstair_runtime/clocks.py
+++ b/packages/runtime/src/camphorstair_runtime/clocks.py
@@ -10,6 +10,11 @@
     return time.monotonic()
 
 
+def suspended_s() -> float:
+    """Return the seconds of a clock that also runs while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def epoch_s() -> float:
     """Return the seconds since the epoch."""
     return time.time()
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -42,6 +42,8 @@
     :ivar status: Status of the answer.
     :ivar headers: Its headers, names in lower case.
     :ivar framed: Whether the end of its body can be told from a break.
+    :ivar eof_ends: Whether the end of the connection may end a body that
+        tells no length.
     """
 
     sock: curio.io.Socket
@@ -49,6 +51,17 @@
     status: int = 0
     headers: http_messages.HeaderList = attrs.field(factory=list)
     framed: bool = True
+    eof_ends: bool = False
+
+    def reusable(self) -> bool:
+        """Tell whether another request may be sent on the connection."""
+        protocol = self.protocol
+        if protocol.trailing_data[0]:
+            return False
+        return (protocol.our_state, protocol.their_state) == (
+            h11.DONE,
+            h11.DONE,
+        )
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
@@ -88,7 +101,7 @@
 
         It can't be told from one that broke off.
         """
-        if not self.framed:
+        if not self.framed and not self.eof_ends:
             raise HttpError('the answer does not tell its length', sent=True)
 
 
@@ -96,22 +109,22 @@
     address: str,
     request: http_messages.Request,
     context: typing.Any = None,
+    limit_s: float = CONNECT_LIMIT_S,
 ) -> Exchange:
     """Send a request and read the head of its answer.
 
     :param address: ``IP:port`` of the server.
     :param request: The request.
     :param context: TLS context, or None for plain HTTP.
+    :param limit_s: Longest time until the connection stands.
     :raises HttpError: if the exchange fails before the answer's head.
     """
-    sock = await _connect(address, context)
-    sockets.send_at_once(sock)
-    exchange = Exchange(sock, h11.Connection(h11.CLIENT))
+    exchange = await connect(address, context, limit_s)
     try:
-        await _send(exchange, address, request)
-        await _read_head(exchange, request)
+        await send(exchange, address, request)
+        await read_head(exchange, request)
     except BaseException:
-        await sock.close()
+        await exchange.close()
         raise
     return exchange
 
@@ -129,8 +142,30 @@
         exchange.protocol.start_next_cycle()
     except h11.LocalProtocolError as error:
         raise HttpError(f'{address}: {error}', sent=False) from error
-    await _send(exchange, address, request)
-    await _read_head(exchange, request)
+    await send(exchange, address, request)
+    await read_head(exchange, request)
+
+
+async def skip_answer(
+    exchange: Exchange,
+    host: str,
+    request: http_messages.Request,
+) -> None:
+    """Read an answer that belongs to no request, and the head of the next.
+
+    :param exchange: The exchange whose head was read.
+    :param host: The host that was sent.
+    :param request: The request that still waits for its answer.
+    :raises HttpError: if the next answer's head does not come.
+    """
+    await exchange.read_all()
+    try:
+        exchange.protocol.start_next_cycle()
+        # The request was sent already; only the protocol's state is set.
+        _encode(exchange, host, request)
+    except h11.LocalProtocolError as error:
+        raise HttpError(str(error), sent=True) from error
+    await read_head(exchange, request)
 
 
 async def fetch(
@@ -163,26 +198,55 @@
     return response
 
 
-async def _connect(address: str, context: typing.Any) -> curio.io.Socket:
+async def connect(
+    address: str,
+    context: typing.Any = None,
+    limit_s: float = CONNECT_LIMIT_S,
+) -> Exchange:
+    """Open a connection.
+
+    :param address: ``IP:port`` of the server.
+    :param context: TLS context, or None for plain HTTP.
+    :param limit_s: Longest time until it stands.
+    :raises HttpError: if it does not.
+    """
     host, port = settings.split_address(address)
     try:
-        return await curio.timeout_after(
-            CONNECT_LIMIT_S,
+        sock = await curio.timeout_after(
+            limit_s,
             curio.open_connection(host, port, ssl=context),
         )
     except (OSError, curio.TaskTimeout) as error:
         raise HttpError(
             f'connect to {address}: {error!r}', sent=False
         ) from error
+    sockets.send_at_once(sock)
+    return Exchange(sock, h11.Connection(h11.CLIENT))
 
 
-async def _send(
+async def send(
     exchange: Exchange,
-    address: str,
+    host: str,
     request: http_messages.Request,
 ) -> None:
+    """Send a request.
+
+    :param host: The host that the request names.
+    :raises HttpError: if it may not have been sent whole.
+    """
+    try:
+        await exchange.sock.sendall(_encode(exchange, host, request))
+    except OSError as error:
+        raise HttpError(f'send to {host}: {error}', sent=True) from error
+
+
+def _encode(
+    exchange: Exchange,
+    host: str,
+    request: http_messages.Request,
+) -> bytes:
     headers = [
-        ('host', address),
+        ('host', host),
         *http_messages.end_to_end(request.headers),
         ('content-length', str(len(request.body))),
     ]
@@ -193,18 +257,20 @@
     )
     protocol = exchange.protocol
     parts = (head, h11.Data(data=request.body), h11.EndOfMessage())
-    sent = b''.join(protocol.send(part) or b'' for part in parts)
-    try:
-        await exchange.sock.sendall(sent)
-    except OSError as error:
-        raise HttpError(f'send to {address}: {error}', sent=True) from error
+    return b''.join(protocol.send(part) or b'' for part in parts)
 
 
-async def _read_head(
+async def read_head(
     exchange: Exchange,
     request: http_messages.Request,
 ) -> None:
+    """Read the head of the answer to a request.
+
+    :raises HttpError: if none comes.
+    """
     event = await exchange.event()
+    while isinstance(event, h11.InformationalResponse):
+        event = await exchange.event()
     if not isinstance(event, h11.Response):
         raise HttpError('no answer', sent=True)
     exchange.status = event.status_code
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -110,6 +110,8 @@
 
     :ivar handler: Answers one request.
     :ivar request_limit_s: Time in which a request must come whole.
+    :ivar refuses_crossing: Whether a connection that ends between requests is
+        sent a refusal first, for a request that may be on its way.
     :ivar closing: Whether answers say that their connection ends.
     :ivar ended: Whether no further request is read.
     :ivar idle: Sockets on which no part of a request has come.
@@ -119,6 +121,7 @@
 
     handler: ResponderHandler
     request_limit_s: float = REQUEST_LIMIT_S
+    refuses_crossing: bool = True
     closing: bool = False
     ended: bool = False
     idle: set[curio.io.Socket] = attrs.field(factory=set)
@@ -169,7 +172,7 @@
                 return
             protocol.start_next_cycle()
         caller_closed = protocol.trailing_data[1]
-        if self.ended or not caller_closed:
+        if self.refuses_crossing and (self.ended or not caller_closed):
             await _refuse(Responder(sock, protocol), _closing_error())
             await connection_closing.linger(sock)
 
--- a/tests/test_event_offsets.py
+++ b/tests/test_event_offsets.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphorstair_agent import event_stream
+from camphorstair_core import event_stream
 from camphorstair_core import answers, errors, event_offsets, messages
 
 TOTAL = 12
