--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import signal
 
 import attrs
 import curio
@@ -15,7 +16,7 @@
     state,
 )
 from camphorstair_core.fleet import membership, roster
-from camphorstair_platform import boot, store
+from camphorstair_platform import boot, fields, store
 from camphorstair_runtime import (
     clocks,
     http_server,
@@ -66,7 +67,7 @@
 
 async def run(process: Process) -> None:
     """Serve until a termination signal, then finish what runs."""
-    terminated = signals.watch()
+    signalled = signals.watch(signal.SIGHUP)
     entry = process.entry
     told = entry.settings
     answers = http_server.Server(directory.Directory(entry).handle)
@@ -81,7 +82,7 @@
         member = await group.spawn(process.joining.run)
         await group.spawn(_tick, process)
         _LOG.info('listening', extra={'callers': told.callers_address})
-        await terminated.recv(1)
+        await _wait_termination(entry, signalled)
         entry.leaving = True
         await member.cancel()
         await _depart(process)
@@ -89,6 +90,21 @@
     _LOG.info('stopped')
 
 
+async def _wait_termination(
+    entry: state.FleetEntry,
+    signalled: curio.io.Socket,
+) -> None:
+    """Reload the settings at each SIGHUP until another signal comes."""
+    while await signalled.recv(1) == bytes([signal.SIGHUP]):
+        try:
+            told = boot.decode(boot.path().read_bytes())
+        except (OSError, fields.FormatError) as error:
+            _LOG.error('settings not reloaded, the last ones stay: %s', error)
+            continue
+        entry.settings = attrs.evolve(entry.settings, bounds=told.bounds)
+        _LOG.info('settings reloaded')
+
+
 async def _listen(
     group: curio.TaskGroup,
     address: str,
--- a/packages/runtime/src/camphorstair_runtime/signals.py
+++ b/packages/runtime/src/camphorstair_runtime/signals.py
@@ -10,15 +10,16 @@
     """Leave the signal to the wakeup socket."""
 
 
-def watch() -> curio.io.Socket:
+def watch(*others: signal.Signals) -> curio.io.Socket:
     """Catch SIGTERM and SIGINT.
 
-    :returns: A socket on which a byte arrives for each signal.
+    :param others: Further signals to catch.
+    :returns: A socket on which the number of each signal arrives as a byte.
     """
     receiver, sender = socket.socketpair()
     # The method takes its flag by position only.
     sender.setblocking(False)  # noqa: WPS425
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, *others):
         signal.signal(number, _ignore)
     signal.set_wakeup_fd(sender.detach())
     return curio.io.Socket(receiver)
