Trial: agents read their engines, and one plans the group's expert maps

Change: an agent on each endpoint VM tells its engine's load to the entries and gives its rank the planner's orders; one agent plans under a lease of the store.

--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each model engine of the fleet."""
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -0,0 +1,302 @@
+"""Plans for the rank group of this agent's engine while it holds its lease."""
+
+import logging
+
+import attrs
+import curio
+
+from camphorstair_agent.fleet import state
+from camphorstair_core.experts import group_orders, group_planner
+from camphorstair_core.fleet import roster
+from camphorstair_fleet import internal_messages, keys, leasing
+from camphorstair_platform import store
+from camphorstair_runtime import clocks, http_client, http_messages
+
+LEASE_S = 3.0
+RENEW_INTERVAL_S = 0.8
+IDLE_INTERVAL_S = 0.25
+PREPARE_INTERVAL_S = 0.08
+ORDER_INTERVAL_S = 0.01
+# Agents of higher ranks leave the lease to those of lower ones.
+ACQUIRE_DELAY_S = 0.15
+ACQUIRE_INTERVAL_S = 1.0
+CALL_LIMIT_S = 0.5
+# A copy that takes longer than this is ordered again.
+PREPARE_LIMIT_S = 2.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define
+class _Plan:
+    """The map that is being put in use.
+
+    :ivar version: Its number.
+    :ivar sets: Its content.
+    :ivar ordered_s: When each rank was told to prepare it.
+    """
+
+    version: int
+    sets: group_planner.Sets
+    ordered_s: dict[int, float] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Planning:
+    """The planner of a group.
+
+    :ivar agent: The agent's state.
+    :ivar client: The store.
+    :ivar leadership: The hold on the group; None before the first.
+    :ivar planner: What is known of the experts' loads.
+    :ivar current: The plan that is being put in use, if any.
+    :ivar epoch: The formation of the group that the plan is for.
+    :ivar planned: Number of maps planned under this lease.
+    """
+
+    agent: state.FleetAgent
+    client: store.StoreClient
+    leadership: leasing.Leadership | None = None
+    planner: group_planner.GroupPlanner | None = None
+    current: _Plan | None = None
+    epoch: int = 0
+    planned: int = 0
+
+    async def run(self) -> None:
+        """Plan whenever the lease is to be had."""
+        while True:
+            membership = self._membership()
+            if membership is None:
+                await curio.sleep(ACQUIRE_INTERVAL_S)
+                continue
+            await curio.sleep(ACQUIRE_DELAY_S * membership.rank)
+            if await self._acquire(membership.group):
+                await self._lead(membership)
+            await curio.sleep(ACQUIRE_INTERVAL_S)
+
+    def _membership(self) -> roster.GroupMembership | None:
+        own = self.agent.own_registration()
+        return own.membership if own else None
+
+    async def _acquire(self, group: str) -> bool:
+        if group in self.agent.planners:
+            return False
+        holder = self.agent.settings.name.encode()
+        leadership = leasing.Leadership(
+            self.client, keys.planner(group), holder, LEASE_S
+        )
+        try:
+            taken = await leadership.acquire()
+        except store.StoreError as error:
+            _LOG.warning('lease of group %s not taken: %s', group, error)
+            return False
+        if taken:
+            self.leadership = leadership
+            self.planned = 0
+            self.current = None
+            _LOG.info('planner of group %s', group)
+        return taken
+
+    async def _lead(self, membership: roster.GroupMembership) -> None:
+        """Plan until the lease is lost."""
+        profile = self.agent.profile()
+        if profile is None or not profile.expert_count:
+            return
+        self.planner = group_planner.GroupPlanner(profile.place_count)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._keep_lease)
+            await group.spawn(self._plan, membership.group, profile.spare_count)
+        _LOG.warning('no longer planner of group %s', membership.group)
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await curio.sleep(RENEW_INTERVAL_S)
+            try:
+                if not await self.leadership.renew():
+                    return
+            except store.StoreError as error:
+                _LOG.warning('lease not renewed: %s', error)
+
+    async def _plan(self, group: str, spare: int) -> None:
+        while self.leadership.held():
+            ranks = self.agent.group_members(group)
+            interval_s = await self._round(ranks, spare)
+            await curio.sleep(interval_s)
+
+    async def _round(
+        self,
+        ranks: dict[int, roster.Registration],
+        spare: int,
+    ) -> float:
+        """Look at all ranks once and give the orders that are due.
+
+        :returns: The time until the next round.
+        """
+        idle = self.current is None
+        states = await self._states(ranks, with_counts=idle)
+        if len(states) < len(ranks) or not states:
+            return IDLE_INTERVAL_S
+        self._note_epoch(states)
+        if idle:
+            self._plan_next(states, spare)
+        wanted = self.current.version if self.current else None
+        reports = {rank: one.report for rank, one in states.items()}
+        orders = group_orders.next_orders(reports, len(ranks), wanted)
+        due = [one for one in orders if self._is_due(one)]
+        await self._give(due, ranks)
+        self._note_done(reports)
+        if self.current is None:
+            return IDLE_INTERVAL_S
+        preparing = any(
+            one.kind is group_orders.OrderKind.prepare for one in orders
+        )
+        return PREPARE_INTERVAL_S if preparing else ORDER_INTERVAL_S
+
+    def _note_epoch(
+        self,
+        states: dict[int, internal_messages.RankState],
+    ) -> None:
+        """Drop a plan that was made for an earlier formation."""
+        epoch = max(one.report.epoch for one in states.values())
+        if epoch != self.epoch:
+            self.epoch = epoch
+            self.current = None
+
+    def _plan_next(
+        self,
+        states: dict[int, internal_messages.RankState],
+        spare: int,
+    ) -> None:
+        counts = {
+            rank: one.counts for rank, one in states.items() if one.counts
+        }
+        if len(counts) < len(states):
+            return
+        self.planner.note(counts)
+        set_count = len(states[0].experts)
+        sets = tuple(
+            tuple(states[rank].experts[index] for rank in sorted(states))
+            for index in range(set_count)
+        )
+        planned = self.planner.plan(sets, spare)
+        if planned is None:
+            return
+        self.planned += 1
+        version = group_orders.version_number(
+            self.leadership.revision, self.planned
+        )
+        self.current = _Plan(version, planned)
+        _LOG.info(
+            'new map',
+            extra={
+                'version': version,
+                'skew': round(self.planner.skew(sets), 3),
+                'expected': round(self.planner.skew(planned), 3),
+            },
+        )
+
+    def _is_due(self, order: group_orders.Order) -> bool:
+        """Tell whether an order is not just being carried out."""
+        if order.kind is not group_orders.OrderKind.prepare:
+            return True
+        now_s = clocks.monotonic_s()
+        ordered_s = self.current.ordered_s.get(order.rank)
+        if ordered_s is not None and now_s < ordered_s + PREPARE_LIMIT_S:
+            return False
+        self.current.ordered_s[order.rank] = now_s
+        return True
+
+    def _note_done(
+        self,
+        reports: dict[int, group_orders.RankReport],
+    ) -> None:
+        current = self.current
+        if current and all(
+            one.version == current.version for one in reports.values()
+        ):
+            _LOG.info('map in use', extra={'version': current.version})
+            self.current = None
+
+    async def _states(
+        self,
+        ranks: dict[int, roster.Registration],
+        *,
+        with_counts: bool,
+    ) -> dict[int, internal_messages.RankState]:
+        path = internal_messages.STATE_PATH
+        if with_counts:
+            path = internal_messages.STATE_WITH_COUNTS_PATH
+        found: dict[int, internal_messages.RankState] = {}
+
+        async def ask(rank: int, address: str) -> None:
+            answer = await self._call(address, path, b'')
+            if answer is not None:
+                found[rank] = internal_messages.decode(
+                    answer, internal_messages.RankState
+                )
+
+        async with curio.TaskGroup() as group:
+            for rank, registration in ranks.items():
+                await group.spawn(ask, rank, self._agent_address(registration))
+        return found
+
+    async def _give(
+        self,
+        orders: list[group_orders.Order],
+        ranks: dict[int, roster.Registration],
+    ) -> None:
+        async with curio.TaskGroup() as group:
+            for order in orders:
+                await group.spawn(self._order, order, ranks[order.rank])
+
+    async def _order(
+        self,
+        order: group_orders.Order,
+        registration: roster.Registration,
+    ) -> None:
+        if not self.leadership.held():
+            return
+        preparing = order.kind is group_orders.OrderKind.prepare
+        sets = self.current.sets if preparing else ()
+        message = internal_messages.RankOrder(order, self.epoch, sets)
+        answer = await self._call(
+            self._agent_address(registration),
+            internal_messages.ORDER_PATH,
+            internal_messages.encode(message),
+        )
+        status = 0
+        if answer is not None:
+            outcome = internal_messages.decode(
+                answer, internal_messages.OrderOutcome
+            )
+            status = outcome.status
+        _LOG.info(
+            'order %s',
+            order.kind.value,
+            extra={
+                'rank': order.rank,
+                'version': order.version,
+                'step': order.step,
+                'status': status,
+            },
+        )
+
+    async def _call(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+    ) -> bytes | None:
+        """Return an agent's answer, or None if there is none."""
+        request = http_messages.Request('POST', path, [], body)
+        try:
+            async with curio.timeout_after(CALL_LIMIT_S):
+                answer = await http_client.fetch(address, request)
+        except (curio.TaskTimeout, http_client.HttpError) as error:
+            _LOG.debug('%s at %s: %r', path, address, error)
+            return None
+        return answer.body if answer.status == 200 else None
+
+    def _agent_address(self, registration: roster.Registration) -> str:
+        host = registration.address.rpartition(':')[0]
+        return f'{host}:{self.agent.settings.internal_port}'
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -0,0 +1,82 @@
+"""Answers the planner's questions about this VM's rank, and its orders."""
+
+import http
+
+import attrs
+
+from camphorstair_agent.fleet import engine_calls
+from camphorstair_core.experts import group_orders
+from camphorstair_fleet import internal_messages
+from camphorstair_platform import engines, fields
+from camphorstair_runtime import http_client, http_messages, http_server
+
+
+@attrs.define(eq=False)
+class RankService:
+    """Handles the planner's calls.
+
+    :ivar calls: The engine.
+    """
+
+    calls: engine_calls.EngineCalls
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answer one call."""
+        try:
+            answer = await self._answer(request)
+        except (http_client.HttpError, fields.FormatError) as error:
+            answer = _failure(http.HTTPStatus.BAD_GATEWAY, error)
+        except internal_messages.MessageError as fault:
+            answer = _failure(http.HTTPStatus.BAD_REQUEST, fault)
+        await responder.respond(answer)
+
+    async def _answer(
+        self,
+        request: http_messages.Request,
+    ) -> http_messages.Response:
+        if request.path == internal_messages.ORDER_PATH:
+            return _message(await self._order(request.body))
+        if request.path == internal_messages.STATE_PATH:
+            return _message(internal_messages.RankState(await self._report()))
+        if request.path == internal_messages.STATE_WITH_COUNTS_PATH:
+            return _message(await self._state_with_counts())
+        return http_messages.json_response(
+            http.HTTPStatus.NOT_FOUND, {'error': f'no call {request.path}'}
+        )
+
+    async def _report(self) -> group_orders.RankReport:
+        answer = await self.calls.call(engines.report_request())
+        report = engines.decode_report(answer.body)
+        if report.rank is None:
+            raise fields.FormatError('the engine is no rank of a group')
+        return report.rank
+
+    async def _state_with_counts(self) -> internal_messages.RankState:
+        counts = await self.calls.call(engines.counts_request())
+        maps = await self.calls.call(engines.maps_request())
+        experts = engines.decode_maps(maps.body).experts
+        return internal_messages.RankState(
+            await self._report(),
+            experts,
+            engines.decode_counts(counts.body, len(experts)).counts,
+        )
+
+    async def _order(self, content: bytes) -> internal_messages.OrderOutcome:
+        found = internal_messages.decode(content, internal_messages.RankOrder)
+        request = engines.order_request(found.order, found.epoch, found.sets)
+        answer = await self.calls.call(request)
+        return internal_messages.OrderOutcome(answer.status)
+
+
+def _message(message: object) -> http_messages.Response:
+    headers = [('content-type', 'application/msgpack')]
+    content = internal_messages.encode(message)
+    return http_messages.Response(http.HTTPStatus.OK, headers, content)
+
+
+def _failure(status: int, error: Exception) -> http_messages.Response:
+    return http_messages.json_response(status, {'error': str(error)})
--- /dev/null
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -0,0 +1,58 @@
+"""Runs an agent of the fleet."""
+
+import logging
+import signal
+
+import curio
+
+from camphorstair_agent.fleet import (
+    engine_calls,
+    listing,
+    planning,
+    ranks,
+    sensing,
+    state,
+)
+from camphorstair_platform import boot, store
+from camphorstair_runtime import http_server, logs, signals
+
+_LOG = logging.getLogger(__name__)
+
+
+async def run(told: boot.BootSettings) -> None:
+    """Serve until a termination signal."""
+    signalled = signals.watch(signal.SIGHUP)
+    agent = state.FleetAgent(told)
+    client = store.StoreClient(told.store.address)
+    service = ranks.RankService(engine_calls.EngineCalls(told.engine_address))
+    sensor = sensing.Sensing(
+        agent, engine_calls.EngineCalls(told.engine_address)
+    )
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(
+            curio.tcp_server(
+                told.address,
+                told.internal_port,
+                http_server.Server(service.handle).serve,
+            ),
+        )
+        await group.spawn(listing.Listing(agent, client).run)
+        await group.spawn(sensor.run)
+        await group.spawn(planning.Planning(agent, client).run)
+        _LOG.info('listening', extra={'engine': told.engine_address})
+        while await signalled.recv(1) == bytes([signal.SIGHUP]):
+            _LOG.info('settings changed; none is read again')
+        await group.cancel_remaining()
+    _LOG.info('stopped')
+
+
+def main() -> None:
+    """Run an agent with the platform's settings."""
+    told = boot.decode(boot.path().read_bytes())
+    logs.set_up(told.name, 'INFO')
+    curio.run(run, told)
+    signals.ignore()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -0,0 +1,204 @@
+"""Plans expert maps of engines that share an expert's tokens evenly.
+
+A pass lasts, set by set, as long as the most loaded rank's part. A set's
+planner makes one change after another, always the one that lowers the load of
+the busiest ranks most: a further replica of an expert, or an exchange of two
+experts between ranks. A new expert has to be copied to its rank, so a plan
+adds only a few to each.
+"""
+
+from collections import abc
+
+import attrs
+
+# High powers of the ranks' loads follow the busiest rank.
+_POWER = 8
+_EXPERTS_TRIED = 4
+_RANKS_TRIED = 5
+_LEAST_GAIN = 0.002
+
+Held = tuple[tuple[int, ...], ...]
+Loads = abc.Sequence[float]
+
+
+@attrs.frozen
+class SetLimits:
+    """What a plan of one set may do.
+
+    :ivar places: Most experts at one rank.
+    :ivar new: Most experts that a rank may have to copy.
+    """
+
+    places: int
+    new: int
+
+
+@attrs.define
+class _Draft:
+    """A map of one set in the making.
+
+    :ivar held: Experts of each rank.
+    :ivar holders: Ranks of each expert.
+    :ivar loads: Load of each expert; the mean of a rank is 1.
+    :ivar by_rank: Load of each rank.
+    :ivar original: Experts of each rank before the plan.
+    """
+
+    held: list[set[int]]
+    holders: list[set[int]]
+    loads: list[float]
+    by_rank: list[float]
+    original: list[frozenset[int]]
+
+    def new_count(self, rank: int) -> int:
+        """Return how many experts a rank would have to copy."""
+        return len(self.held[rank] - self.original[rank])
+
+
+@attrs.frozen
+class _Change:
+    """Experts added to ranks and removed from ranks, as (expert, rank)."""
+
+    added: tuple[tuple[int, int], ...]
+    removed: tuple[tuple[int, int], ...] = ()
+
+
+def initial(experts: int, ranks: int) -> Held:
+    """Return the map that assigns experts in turn."""
+    return tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
+
+
+def rank_loads(held: Held, loads: Loads) -> list[float]:
+    """Return the load of each rank in the unit of the experts' loads."""
+    copies = [0] * len(loads)
+    for experts in held:
+        for expert in experts:
+            copies[expert] += 1
+    return [
+        sum(loads[expert] / copies[expert] for expert in experts)
+        for experts in held
+    ]
+
+
+def skew(held: Held, loads: Loads) -> float:
+    """Return the load of the busiest rank over the mean; 1 is even."""
+    by_rank = rank_loads(held, loads)
+    total = sum(by_rank)
+    return max(by_rank) * len(by_rank) / total if total else 1.0
+
+
+def plan_set(held: Held, loads: Loads, limits: SetLimits) -> Held:
+    """Return a map of one set that loads the ranks more evenly.
+
+    :param held: Experts of each rank now.
+    :param loads: Load of each expert in any unit.
+    :param limits: What may be done.
+    """
+    draft = _draft(held, loads)
+    while True:
+        change = _best_change(draft, limits)
+        if change is None:
+            return tuple(tuple(sorted(one)) for one in draft.held)
+        _apply(draft, change)
+
+
+def _draft(held: Held, loads: Loads) -> _Draft:
+    unit = sum(loads) / len(held) or 1.0
+    scaled = [load / unit for load in loads]
+    holders: list[set[int]] = [set() for _ in loads]
+    for rank, experts in enumerate(held):
+        for expert in experts:
+            holders[expert].add(rank)
+    return _Draft(
+        [set(one) for one in held],
+        holders,
+        scaled,
+        rank_loads(held, scaled),
+        [frozenset(one) for one in held],
+    )
+
+
+def _best_change(draft: _Draft, limits: SetLimits) -> _Change | None:
+    least = sum(load**_POWER for load in draft.by_rank) * (1 - _LEAST_GAIN)
+    best = None
+    for change in _changes(draft, limits):
+        value = _value_after(draft, change)
+        if value < least:
+            least, best = value, change
+    return best
+
+
+def _changes(draft: _Draft, limits: SetLimits) -> abc.Iterator[_Change]:
+    ranks = sorted(range(len(draft.held)), key=draft.by_rank.__getitem__)
+    busiest = ranks[-1]
+    hot = sorted(
+        draft.held[busiest], key=lambda one: -_part(draft, one)
+    )[:_EXPERTS_TRIED]
+    for rank in ranks[:_RANKS_TRIED]:
+        if draft.new_count(rank) >= limits.new:
+            continue
+        for expert in hot:
+            if rank not in draft.holders[expert]:
+                yield from _additions(draft, limits, expert, rank, busiest)
+
+
+def _additions(
+    draft: _Draft,
+    limits: SetLimits,
+    expert: int,
+    rank: int,
+    busiest: int,
+) -> abc.Iterator[_Change]:
+    """Yield the ways to put an expert of the busiest rank on another."""
+    here = (expert, rank)
+    there = (expert, busiest)
+    if len(draft.held[rank]) < limits.places:
+        yield _Change((here,))
+        yield _Change((here,), (there,))
+    for other in sorted(draft.held[rank], key=lambda one: _part(draft, one)):
+        if len(draft.holders[other]) > 1:
+            yield _Change((here,), ((other, rank),))
+            break
+    swappable = draft.new_count(busiest) < limits.new
+    for cold in _coldest(draft, rank) if swappable else ():
+        if busiest not in draft.holders[cold]:
+            yield _Change((here, (cold, busiest)), (there, (cold, rank)))
+
+
+def _coldest(draft: _Draft, rank: int) -> list[int]:
+    ordered = sorted(draft.held[rank], key=lambda one: _part(draft, one))
+    return ordered[:_EXPERTS_TRIED]
+
+
+def _part(draft: _Draft, expert: int) -> float:
+    """Return the load of one replica of an expert."""
+    return draft.loads[expert] / len(draft.holders[expert])
+
+
+def _value_after(draft: _Draft, change: _Change) -> float:
+    by_rank = draft.by_rank.copy()
+    for expert in {one for one, _rank in change.added + change.removed}:
+        before = draft.holders[expert]
+        after = _holders_after(draft, change, expert)
+        for rank in before:
+            by_rank[rank] -= draft.loads[expert] / len(before)
+        for rank in after:
+            by_rank[rank] += draft.loads[expert] / len(after)
+    return sum(max(load, 0) ** _POWER for load in by_rank)
+
+
+def _holders_after(draft: _Draft, change: _Change, expert: int) -> set[int]:
+    added = {rank for one, rank in change.added if one == expert}
+    removed = {rank for one, rank in change.removed if one == expert}
+    return (draft.holders[expert] | added) - removed
+
+
+def _apply(draft: _Draft, change: _Change) -> None:
+    for expert, rank in change.added:
+        draft.held[rank].add(expert)
+        draft.holders[expert].add(rank)
+    for removed, rank in change.removed:
+        draft.held[rank].remove(removed)
+        draft.holders[removed].remove(rank)
+    scaled = tuple(tuple(one) for one in draft.held)
+    draft.by_rank = rank_loads(scaled, draft.loads)
--- /dev/null
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -0,0 +1,148 @@
+"""Which orders take a rank group to a new expert map.
+
+The decision looks only at what the ranks report, so a planner that takes over
+goes on where the last one stopped, and a repeated, lost or late order does no
+harm:
+
+1. Every rank prepares the version; its report shows when the copy is whole.
+2. One rank holds a step ahead: the group does not begin that step.
+3. When the hold is reported, every rank is armed for that step. All ranks have
+   the version prepared by then, so arming can always be completed; it is never
+   undone. An armed rank that alone is left at a step that begins would work on
+   another map than the others.
+4. When every rank reports that it is armed, the held rank is let go.
+
+A held group whose ranks have not all prepared the same version was never
+armed, and is let go at once. Versions rise with the revision under which a
+planner took its lease, so no two planners use the same one, and a rank refuses
+a late order to prepare an earlier one.
+"""
+
+import enum
+
+import attrs
+
+# Passes between the one in progress and the one that is held.
+STEP_MARGIN = 4
+VERSIONS_PER_LEASE = 10_000
+
+
+class OrderKind(enum.StrEnum):
+    """What a rank is told."""
+
+    prepare = 'prepare'
+    hold = 'hold'
+    arm = 'arm'
+    go = 'go'
+
+
+@attrs.frozen
+class Order:
+    """An order to one rank.
+
+    :ivar version: The version of the map; 0 where it does not matter.
+    :ivar step: The step; 0 where it does not matter.
+    """
+
+    rank: int
+    kind: OrderKind
+    version: int = 0
+    step: int = 0
+
+
+@attrs.frozen
+class RankReport:
+    """What a rank reports of its maps.
+
+    :ivar epoch: Number of the group's formation.
+    :ivar step: The last step that began.
+    :ivar version: Version of the map in use.
+    :ivar prepared: Version whose copy is whole; 0 if none.
+    :ivar armed_version: Version that it will switch to; 0 if none.
+    :ivar armed_step: The step at which it will.
+    :ivar held_step: The step that waits for it; None if none does.
+    """
+
+    epoch: int
+    step: int
+    version: int
+    prepared: int
+    armed_version: int = 0
+    armed_step: int = 0
+    held_step: int | None = None
+
+
+def version_number(revision: int, count: int) -> int:
+    """Return the version of a planner's map.
+
+    :param revision: Revision of the store under which it took its lease.
+    :param count: How many maps it has planned.
+    """
+    return revision * VERSIONS_PER_LEASE + count
+
+
+def next_orders(
+    reports: dict[int, RankReport],
+    size: int,
+    wanted: int | None,
+) -> list[Order]:
+    """Return the orders that are due now.
+
+    :param reports: A fresh report of each rank.
+    :param size: Number of ranks.
+    :param wanted: Version that the planner wants in use, or None.
+    """
+    if len(reports) < size or len({one.epoch for one in reports.values()}) > 1:
+        return []
+    held = {
+        rank: one.held_step
+        for rank, one in reports.items()
+        if one.held_step is not None
+    }
+    if held:
+        return _orders_while_held(reports, held)
+    if wanted is None or any(one.armed_version for one in reports.values()):
+        return []
+    return _orders_before_hold(reports, wanted)
+
+
+def _orders_while_held(
+    reports: dict[int, RankReport],
+    held: dict[int, int],
+) -> list[Order]:
+    step = min(held.values())
+    release = [
+        Order(rank, OrderKind.go, step=step)
+        for rank, held_step in held.items()
+        if held_step == step
+    ]
+    prepared = {one.prepared for one in reports.values()}
+    version = max(prepared)
+    if len(prepared) > 1 or not version:
+        return release
+    in_use = {one.version for one in reports.values()}
+    if in_use == {version}:
+        return release
+    arms = [
+        Order(rank, OrderKind.arm, version, step)
+        for rank, one in sorted(reports.items())
+        if (one.armed_version, one.armed_step) != (version, step)
+    ]
+    return arms or release
+
+
+def _orders_before_hold(
+    reports: dict[int, RankReport],
+    wanted: int,
+) -> list[Order]:
+    if any(one.version >= wanted for one in reports.values()):
+        return []
+    lacking = [
+        Order(rank, OrderKind.prepare, wanted)
+        for rank, one in sorted(reports.items())
+        if one.prepared != wanted
+    ]
+    if lacking:
+        return lacking
+    step = max(one.step for one in reports.values()) + STEP_MARGIN
+    return [Order(min(reports), OrderKind.hold, step=step)]
--- a/packages/entry/src/camphorstair/fleet/joining.py
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -6,7 +6,8 @@
 import curio
 import msgspec
 
-from camphorstair.fleet import following, state
+from camphorstair.fleet import state
+from camphorstair_fleet import keys
 from camphorstair_platform import store
 from camphorstair_runtime import clocks
 
@@ -54,7 +55,7 @@
         name = self.entry.settings.name
         try:
             async with curio.timeout_after(LEAVE_LIMIT_S):
-                key = following.member_key(name)
+                key = keys.member(name)
                 await self.client.transact((), (), (key,))
         except (store.StoreError, curio.TaskTimeout) as error:
             _LOG.warning('the membership lapses by itself: %r', error)
@@ -66,7 +67,7 @@
         lease = await self.client.grant(TTL_S)
         member = self.entry.own_member()
         content = msgspec.json.encode(member)
-        put = store.Put(following.member_key(member.name), content, lease)
+        put = store.Put(keys.member(member.name), content, lease)
         await self.client.transact((), (put,))
         self.lease = lease
         _LOG.info('joined', extra={'lease': lease})
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -13,6 +13,7 @@
     following,
     joining,
     receiving,
+    sensing,
     state,
 )
 from camphorstair_core.fleet import membership, roster
@@ -71,14 +72,13 @@
     entry = process.entry
     told = entry.settings
     answers = http_server.Server(directory.Directory(entry).handle)
-    follower = following.Follower(
-        entry, process.dispatcher, store.StoreClient(told.store.address)
-    )
+    follower = following.Follower(entry, process.dispatcher)
     async with curio.TaskGroup(wait=any) as group:
         await _listen(group, told.callers_address, process.callers)
         await _listen(group, told.ready_address, answers)
         await _listen(group, told.directory_address, answers)
         await group.spawn(follower.run)
+        await group.spawn(sensing.LoadListener(entry, process.dispatcher).run)
         member = await group.spawn(process.joining.run)
         await group.spawn(_tick, process)
         _LOG.info('listening', extra={'callers': told.callers_address})
--- /dev/null
+++ b/packages/fleet/src/camphorstair_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents of a fleet share."""
