--- a/packages/agent/src/camphorstair_agent/fleet/engine_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/engine_calls.py
@@ -54,9 +54,7 @@
             )
         exchange = self._exchange
         body = await exchange.read_all()
-        answer = http_messages.Response(
-            exchange.status, exchange.headers, body
-        )
+        answer = http_messages.Response(exchange.status, exchange.headers, body)
         if not exchange.reusable():
             await self._close()
         return answer
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -14,8 +14,8 @@
 
 LEASE_S = 3.0
 RENEW_INTERVAL_S = 0.8
-IDLE_INTERVAL_S = 0.25
-PREPARE_INTERVAL_S = 0.08
+IDLE_INTERVAL_S = 0.12
+PREPARE_INTERVAL_S = 0.05
 ORDER_INTERVAL_S = 0.01
 # Agents of higher ranks leave the lease to those of lower ones.
 ACQUIRE_DELAY_S = 0.15
@@ -270,6 +270,8 @@
                 answer, internal_messages.OrderOutcome
             )
             status = outcome.status
+        if preparing and not status:
+            self.current.ordered_s.pop(order.rank, None)
         _LOG.info(
             'order %s',
             order.kind.value,
--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -1,6 +1,7 @@
 """Answers the planner's questions about this VM's rank, and its orders."""
 
 import http
+import logging
 
 import attrs
 
@@ -10,15 +11,20 @@
 from camphorstair_platform import engines, fields
 from camphorstair_runtime import http_client, http_messages, http_server
 
+_LOG = logging.getLogger(__name__)
+
 
 @attrs.define(eq=False)
 class RankService:
     """Handles the planner's calls.
 
-    :ivar calls: The engine.
+    :ivar calls: The engine, for questions.
+    :ivar order_calls: The engine, for orders; one that is left unanswered
+        does not hold up the questions.
     """
 
     calls: engine_calls.EngineCalls
+    order_calls: engine_calls.EngineCalls
 
     async def handle(
         self,
@@ -68,7 +74,11 @@
     async def _order(self, content: bytes) -> internal_messages.OrderOutcome:
         found = internal_messages.decode(content, internal_messages.RankOrder)
         request = engines.order_request(found.order, found.epoch, found.sets)
-        answer = await self.calls.call(request)
+        try:
+            answer = await self.order_calls.call(request)
+        except http_client.HttpError as error:
+            _LOG.warning('order %s: %s', found.order.kind.value, error)
+            return internal_messages.OrderOutcome(0)
         return internal_messages.OrderOutcome(answer.status)
 
 
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -24,7 +24,10 @@
     signalled = signals.watch(signal.SIGHUP)
     agent = state.FleetAgent(told)
     client = store.StoreClient(told.store.address)
-    service = ranks.RankService(engine_calls.EngineCalls(told.engine_address))
+    service = ranks.RankService(
+        engine_calls.EngineCalls(told.engine_address),
+        engine_calls.EngineCalls(told.engine_address),
+    )
     sensor = sensing.Sensing(
         agent, engine_calls.EngineCalls(told.engine_address)
     )
--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -15,7 +15,8 @@
 _POWER = 8
 _EXPERTS_TRIED = 4
 _RANKS_TRIED = 5
-_LEAST_GAIN = 0.002
+# Least share by which a change lowers the sum of the powers.
+_LEAST_GAIN = 0.3
 
 Held = tuple[tuple[int, ...], ...]
 Loads = abc.Sequence[float]
@@ -131,9 +132,9 @@
 def _changes(draft: _Draft, limits: SetLimits) -> abc.Iterator[_Change]:
     ranks = sorted(range(len(draft.held)), key=draft.by_rank.__getitem__)
     busiest = ranks[-1]
-    hot = sorted(
-        draft.held[busiest], key=lambda one: -_part(draft, one)
-    )[:_EXPERTS_TRIED]
+    hot = sorted(draft.held[busiest], key=lambda one: -_part(draft, one))[
+        :_EXPERTS_TRIED
+    ]
     for rank in ranks[:_RANKS_TRIED]:
         if draft.new_count(rank) >= limits.new:
             continue
--- a/packages/core/src/camphorstair_core/experts/group_orders.py
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -23,7 +23,7 @@
 import attrs
 
 # Passes between the one in progress and the one that is held.
-STEP_MARGIN = 4
+STEP_MARGIN = 2
 VERSIONS_PER_LEASE = 10_000
 
 
--- a/packages/core/src/camphorstair_core/experts/group_planner.py
+++ b/packages/core/src/camphorstair_core/experts/group_planner.py
@@ -5,9 +5,9 @@
 from camphorstair_core.experts import even_maps, smoothing
 
 # Experts of a set that a rank may have to copy for one plan.
-NEW_EXPERTS = 2
-# Least fall of the mean skew for a new map, and for one of a high skew.
-LEAST_GAIN = 0.08
+NEW_EXPERTS = 1
+# Least fall of the mean skew for which a map is changed.
+LEAST_GAIN = 0.3
 # Counts of an interval below this say too little.
 LEAST_COUNT = 400
 
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -93,7 +93,9 @@
     def _apply_endpoint(self, item: store.Item) -> None:
         name = item.key.removeprefix(registrations.PREFIX)
         if item.content is None:
-            roster.unregister(self.entry.endpoints, name, self.mirror.absent_deadline_s())
+            roster.unregister(
+                self.entry.endpoints, name, self.mirror.absent_deadline_s()
+            )
             _LOG.info('endpoint gone', extra={'endpoint': name})
             return
         try:
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -19,11 +19,13 @@
     :ivar entry: The entry's state.
     :ivar dispatcher: Hands out endpoints.
     :ivar call: The request.
+    :ivar queued_s: When its last attempt began, after its arrival.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     call: calls.Call
+    queued_s: float = 0
 
     async def run(self) -> None:
         """Attempt the request until it is answered.
@@ -35,6 +37,7 @@
         budget.requests.add(clocks.monotonic_s())
         while True:
             candidate = await self.dispatcher.acquire(call.service, call.waiter)
+            self.queued_s = clocks.monotonic_s() - call.received_s
             try:
                 failure = await self._attempt(candidate)
             finally:
@@ -130,6 +133,7 @@
                 'version': call.version,
                 'endpoint': endpoint,
                 'attempts': call.attempts,
+                'queued_s': round(self.queued_s, 3),
                 'first_part_s': round(
                     attempt.first_part_s - call.received_s, 3
                 ),
