Let a held group go on when its planner is silent

The rank's own agent now completes the change by the same rule as the planner; a silent agent's engine is called directly. A hold is released only after two rounds saw it, and the plan starts only when all ranks are registered (a missing one ended the planner: KeyError).

--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -5,12 +5,15 @@
 import attrs
 import curio
 
-from camphorstair_agent.fleet import state
-from camphorstair_core.experts import group_orders, group_planner
+from camphorstair_agent.fleet import rank_calls, state
+from camphorstair_core.experts import (
+    group_orders,
+    group_planner,
+)
 from camphorstair_core.fleet import roster
-from camphorstair_fleet import internal_messages, keys, leasing
+from camphorstair_fleet import keys, leasing
 from camphorstair_platform import store
-from camphorstair_runtime import clocks, http_client, http_messages
+from camphorstair_runtime import clocks
 
 LEASE_S = 3.0
 RENEW_INTERVAL_S = 0.8
@@ -20,7 +23,6 @@
 # Agents of higher ranks leave the lease to those of lower ones.
 ACQUIRE_DELAY_S = 0.15
 ACQUIRE_INTERVAL_S = 1.0
-CALL_LIMIT_S = 0.5
 # A copy that takes longer than this is ordered again.
 PREPARE_LIMIT_S = 2.0
 
@@ -47,18 +49,24 @@
 
     :ivar agent: The agent's state.
     :ivar client: The store.
+    :ivar calls: The ranks of the group.
     :ivar leadership: The hold on the group; None before the first.
     :ivar planner: What is known of the experts' loads.
     :ivar current: The plan that is being put in use, if any.
+    :ivar in_use: The map in use, as far as it is known.
+    :ivar held: The holds that the last round saw.
     :ivar epoch: The formation of the group that the plan is for.
     :ivar planned: Number of maps planned under this lease.
     """
 
     agent: state.FleetAgent
     client: store.StoreClient
+    calls: rank_calls.RankCalls
     leadership: leasing.Leadership | None = None
     planner: group_planner.GroupPlanner | None = None
     current: _Plan | None = None
+    in_use: _Plan | None = None
+    held: group_orders.Holds = frozenset()
     epoch: int = 0
     planned: int = 0
 
@@ -94,6 +102,8 @@
             self.leadership = leadership
             self.planned = 0
             self.current = None
+            self.in_use = None
+            self.held = frozenset()
             _LOG.info('planner of group %s', group)
         return taken
 
@@ -105,7 +115,7 @@
         self.planner = group_planner.GroupPlanner(profile.place_count)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._keep_lease)
-            await group.spawn(self._plan, membership.group, profile.spare_count)
+            await group.spawn(self._plan, membership, profile.spare_count)
         _LOG.warning('no longer planner of group %s', membership.group)
 
     async def _keep_lease(self) -> None:
@@ -117,15 +127,21 @@
             except store.StoreError as error:
                 _LOG.warning('lease not renewed: %s', error)
 
-    async def _plan(self, group: str, spare: int) -> None:
+    async def _plan(
+        self,
+        membership: roster.GroupMembership,
+        spare: int,
+    ) -> None:
         while self.leadership.held():
-            ranks = self.agent.group_members(group)
-            interval_s = await self._round(ranks, spare)
+            ranks = self.agent.group_members(membership.group)
+            interval_s = IDLE_INTERVAL_S
+            if len(ranks) == membership.size:
+                interval_s = await self._round(ranks, spare)
             await curio.sleep(interval_s)
 
     async def _round(
         self,
-        ranks: dict[int, roster.Registration],
+        ranks: rank_calls.Ranks,
         spare: int,
     ) -> float:
         """Look at all ranks once and give the orders that are due.
@@ -133,51 +149,61 @@
         :returns: The time until the next round.
         """
         idle = self.current is None
-        states = await self._states(ranks, with_counts=idle)
+        states = await self.calls.states(ranks, with_counts=idle)
         if len(states) < len(ranks) or not states:
             return IDLE_INTERVAL_S
         self._note_epoch(states)
-        if idle:
-            self._plan_next(states, spare)
-        wanted = self.current.version if self.current else None
         reports = {rank: one.report for rank, one in states.items()}
-        orders = group_orders.next_orders(reports, len(ranks), wanted)
-        due = [one for one in orders if self._is_due(one)]
-        await self._give(due, ranks)
+        held_before, self.held = self.held, group_orders.holds(reports)
+        if idle and not self.held:
+            self._plan_next(states, spare)
+        if self.held:
+            orders = group_orders.orders_while_held(
+                reports, len(ranks), held_before
+            )
+        else:
+            orders = self._orders_before_hold(reports, len(ranks))
+        await self._give(orders, ranks)
         self._note_done(reports)
-        if self.current is None:
+        if self.current is None and not self.held:
             return IDLE_INTERVAL_S
         preparing = any(
             one.kind is group_orders.OrderKind.prepare for one in orders
         )
         return PREPARE_INTERVAL_S if preparing else ORDER_INTERVAL_S
 
-    def _note_epoch(
+    def _orders_before_hold(
         self,
-        states: dict[int, internal_messages.RankState],
-    ) -> None:
+        reports: dict[int, group_orders.RankReport],
+        size: int,
+    ) -> list[group_orders.Order]:
+        if self.current is None:
+            return []
+        return group_orders.orders_before_hold(
+            reports, size, self.current.version, self._hold_rank(size)
+        )
+
+    def _hold_rank(self, size: int) -> int:
+        """Return the rank that holds the group: one of another VM."""
+        membership = self._membership()
+        own = membership.rank if membership else 0
+        return (own + 1) % size
+
+    def _note_epoch(self, states: rank_calls.States) -> None:
         """Drop a plan that was made for an earlier formation."""
         epoch = max(one.report.epoch for one in states.values())
         if epoch != self.epoch:
             self.epoch = epoch
             self.current = None
 
-    def _plan_next(
-        self,
-        states: dict[int, internal_messages.RankState],
-        spare: int,
-    ) -> None:
+    def _plan_next(self, states: rank_calls.States, spare: int) -> None:
         counts = {
             rank: one.counts for rank, one in states.items() if one.counts
         }
-        if len(counts) < len(states):
+        sets = self._sets(states)
+        if not counts or sets is None:
             return
         self.planner.note(counts)
-        set_count = len(states[0].experts)
-        sets = tuple(
-            tuple(states[rank].experts[index] for rank in sorted(states))
-            for index in range(set_count)
-        )
         planned = self.planner.plan(sets, spare)
         if planned is None:
             return
@@ -195,6 +221,22 @@
             },
         )
 
+    def _sets(self, states: rank_calls.States) -> group_planner.Sets | None:
+        """Return the map in use, or None if that is not known."""
+        versions = {one.report.version for one in states.values()}
+        if len(versions) > 1:
+            return None
+        version = versions.pop()
+        if all(one.experts for one in states.values()):
+            sets = tuple(
+                tuple(states[rank].experts[index] for rank in sorted(states))
+                for index in range(len(states[min(states)].experts))
+            )
+            self.in_use = _Plan(version, sets)
+        if self.in_use is None or self.in_use.version != version:
+            return None
+        return self.in_use.sets
+
     def _is_due(self, order: group_orders.Order) -> bool:
         """Tell whether an order is not just being carried out."""
         if order.kind is not group_orders.OrderKind.prepare:
@@ -215,39 +257,18 @@
             one.version == current.version for one in reports.values()
         ):
             _LOG.info('map in use', extra={'version': current.version})
+            self.in_use = current
             self.current = None
 
-    async def _states(
-        self,
-        ranks: dict[int, roster.Registration],
-        *,
-        with_counts: bool,
-    ) -> dict[int, internal_messages.RankState]:
-        path = internal_messages.STATE_PATH
-        if with_counts:
-            path = internal_messages.STATE_WITH_COUNTS_PATH
-        found: dict[int, internal_messages.RankState] = {}
-
-        async def ask(rank: int, address: str) -> None:
-            answer = await self._call(address, path, b'')
-            if answer is not None:
-                found[rank] = internal_messages.decode(
-                    answer, internal_messages.RankState
-                )
-
-        async with curio.TaskGroup() as group:
-            for rank, registration in ranks.items():
-                await group.spawn(ask, rank, self._agent_address(registration))
-        return found
-
     async def _give(
         self,
         orders: list[group_orders.Order],
-        ranks: dict[int, roster.Registration],
+        ranks: rank_calls.Ranks,
     ) -> None:
         async with curio.TaskGroup() as group:
             for order in orders:
-                await group.spawn(self._order, order, ranks[order.rank])
+                if self._is_due(order):
+                    await group.spawn(self._order, order, ranks[order.rank])
 
     async def _order(
         self,
@@ -256,49 +277,9 @@
     ) -> None:
         if not self.leadership.held():
             return
+        current = self.current
         preparing = order.kind is group_orders.OrderKind.prepare
-        sets = self.current.sets if preparing else ()
-        message = internal_messages.RankOrder(order, self.epoch, sets)
-        answer = await self._call(
-            self._agent_address(registration),
-            internal_messages.ORDER_PATH,
-            internal_messages.encode(message),
-        )
-        status = 0
-        if answer is not None:
-            outcome = internal_messages.decode(
-                answer, internal_messages.OrderOutcome
-            )
-            status = outcome.status
-        if preparing and not status:
-            self.current.ordered_s.pop(order.rank, None)
-        _LOG.info(
-            'order %s',
-            order.kind.value,
-            extra={
-                'rank': order.rank,
-                'version': order.version,
-                'step': order.step,
-                'status': status,
-            },
-        )
-
-    async def _call(
-        self,
-        address: str,
-        path: str,
-        body: bytes,
-    ) -> bytes | None:
-        """Return an agent's answer, or None if there is none."""
-        request = http_messages.Request('POST', path, [], body)
-        try:
-            async with curio.timeout_after(CALL_LIMIT_S):
-                answer = await http_client.fetch(address, request)
-        except (curio.TaskTimeout, http_client.HttpError) as error:
-            _LOG.debug('%s at %s: %r', path, address, error)
-            return None
-        return answer.body if answer.status == 200 else None
-
-    def _agent_address(self, registration: roster.Registration) -> str:
-        host = registration.address.rpartition(':')[0]
-        return f'{host}:{self.agent.settings.internal_port}'
+        sets = current.sets if current and preparing else ()
+        status = await self.calls.order(order, registration, self.epoch, sets)
+        if preparing and current and not status:
+            current.ordered_s.pop(order.rank, None)
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -9,7 +9,9 @@
     engine_calls,
     listing,
     planning,
+    rank_calls,
     ranks,
+    rescuing,
     sensing,
     state,
 )
@@ -41,7 +43,9 @@
         )
         await group.spawn(listing.Listing(agent, client).run)
         await group.spawn(sensor.run)
-        await group.spawn(planning.Planning(agent, client).run)
+        calls = rank_calls.RankCalls(agent)
+        await group.spawn(planning.Planning(agent, client, calls).run)
+        await group.spawn(rescuing.Rescue(agent, calls).run)
         _LOG.info('listening', extra={'engine': told.engine_address})
         while await signalled.recv(1) == bytes([signal.SIGHUP]):
             _LOG.info('settings changed; none is read again')
--- a/packages/agent/src/camphorstair_agent/relay.py
+++ b/packages/agent/src/camphorstair_agent/relay.py
@@ -9,6 +9,7 @@
 from camphorstair_core import (
     admission,
     errors,
+    event_stream,
     keys,
     messages,
     queueing,
--- a/packages/core/src/camphorstair_core/experts/group_orders.py
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -26,6 +26,8 @@
 STEP_MARGIN = 2
 VERSIONS_PER_LEASE = 10_000
 
+Holds = frozenset[tuple[int, int]]
+
 
 class OrderKind(enum.StrEnum):
     """What a rank is told."""
@@ -81,48 +83,75 @@
     return revision * VERSIONS_PER_LEASE + count
 
 
-def next_orders(
+def holds(reports: dict[int, RankReport]) -> Holds:
+    """Return the ranks that hold the group, with the steps they hold."""
+    return frozenset(
+        (rank, one.held_step)
+        for rank, one in reports.items()
+        if one.held_step is not None
+    )
+
+
+def orders_before_hold(
     reports: dict[int, RankReport],
     size: int,
-    wanted: int | None,
+    wanted: int,
+    hold_rank: int,
 ) -> list[Order]:
-    """Return the orders that are due now.
+    """Return the orders that take a group without a hold to a new map.
 
-    :param reports: A fresh report of each rank.
+    :param reports: A fresh report of each rank; none holds the group.
     :param size: Number of ranks.
-    :param wanted: Version that the planner wants in use, or None.
+    :param wanted: Version of the new map.
+    :param hold_rank: The rank that is to hold the group.
     """
-    if len(reports) < size or len({one.epoch for one in reports.values()}) > 1:
+    if not _complete(reports, size):
         return []
-    held = {
-        rank: one.held_step
-        for rank, one in reports.items()
-        if one.held_step is not None
-    }
-    if held:
-        return _orders_while_held(reports, held)
-    if wanted is None or any(one.armed_version for one in reports.values()):
+    if any(one.armed_version for one in reports.values()):
+        return []
+    if any(one.version >= wanted for one in reports.values()):
         return []
-    return _orders_before_hold(reports, wanted)
+    lacking = [
+        Order(rank, OrderKind.prepare, wanted)
+        for rank, one in sorted(reports.items())
+        if one.prepared != wanted
+    ]
+    if lacking:
+        return lacking
+    step = max(one.step for one in reports.values()) + STEP_MARGIN
+    return [Order(hold_rank, OrderKind.hold, step=step)]
 
 
-def _orders_while_held(
+def orders_while_held(
     reports: dict[int, RankReport],
-    held: dict[int, int],
+    size: int,
+    held_before: Holds,
 ) -> list[Order]:
-    step = min(held.values())
+    """Return the orders that let a held group go on.
+
+    Any process may give them, also several at once.
+
+    :param reports: A fresh report of each rank.
+    :param size: Number of ranks.
+    :param held_before: The holds that an earlier round saw. Reports of one
+        round may be from before and after a hold, and only two rounds show
+        that the ranks had not prepared the same version when it began.
+    """
+    held = holds(reports)
+    if not held or not _complete(reports, size):
+        return []
+    step = min(held_step for _rank, held_step in held)
     release = [
         Order(rank, OrderKind.go, step=step)
-        for rank, held_step in held.items()
+        for rank, held_step in sorted(held)
         if held_step == step
     ]
     prepared = {one.prepared for one in reports.values()}
     version = max(prepared)
-    if len(prepared) > 1 or not version:
-        return release
     in_use = {one.version for one in reports.values()}
-    if in_use == {version}:
-        return release
+    if len(prepared) > 1 or not version or in_use == {version}:
+        seen = all((one.rank, step) in held_before for one in release)
+        return release if seen else []
     arms = [
         Order(rank, OrderKind.arm, version, step)
         for rank, one in sorted(reports.items())
@@ -131,18 +160,7 @@
     return arms or release
 
 
-def _orders_before_hold(
-    reports: dict[int, RankReport],
-    wanted: int,
-) -> list[Order]:
-    if any(one.version >= wanted for one in reports.values()):
-        return []
-    lacking = [
-        Order(rank, OrderKind.prepare, wanted)
-        for rank, one in sorted(reports.items())
-        if one.prepared != wanted
-    ]
-    if lacking:
-        return lacking
-    step = max(one.step for one in reports.values()) + STEP_MARGIN
-    return [Order(min(reports), OrderKind.hold, step=step)]
+def _complete(reports: dict[int, RankReport], size: int) -> bool:
+    """Tell whether all ranks of one formation have reported."""
+    epochs = {one.epoch for one in reports.values()}
+    return len(reports) >= size and len(epochs) == 1
