--- a/packages/core/src/camphorstair_core/fleet/catalogue.py
+++ b/packages/core/src/camphorstair_core/fleet/catalogue.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-class RouteKind(enum.StrEnum):
+class RequestKind(enum.StrEnum):
     """What may be done with a request whose outcome is unknown."""
 
     idempotent = 'idempotent'
@@ -42,7 +42,7 @@
     name: str
     host: str
     prefix: str
-    kind: RouteKind
+    kind: RequestKind
     timeout_s: float
     target_s: float
     gap_target_s: float
@@ -54,9 +54,9 @@
 
     def repeatable(self) -> bool:
         """Tell whether a second run of a request does no harm."""
-        if self.kind is RouteKind.streaming:
+        if self.kind is RequestKind.streaming:
             return self.resumable
-        return self.kind is RouteKind.idempotent
+        return self.kind is RequestKind.idempotent
 
 
 @attrs.frozen
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -53,7 +53,7 @@
 
 def patience_s(route: catalogue.Route) -> float:
     """Return how long a caller waits for the first part of an answer."""
-    if route.kind is not catalogue.RouteKind.streaming:
+    if route.kind is not catalogue.RequestKind.streaming:
         return route.timeout_s
     return max(
         PATIENCE_S,
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -45,4 +45,4 @@
 
     def streaming(self) -> bool:
         """Tell whether the answer is an event stream."""
-        return self.route.kind is catalogue.RouteKind.streaming
+        return self.route.kind is catalogue.RequestKind.streaming
--- /dev/null
+++ b/tests/test_bounded_logs.py
@@ -0,0 +1,48 @@
+"""Logs that never block and stay bounded."""
+
+import logging
+import os
+
+import msgspec
+
+from camphorstair_runtime import bounded_logs, logs
+
+PIPE_BYTES = 1_000_000
+
+
+def _record(number: int) -> logging.LogRecord:
+    return logging.makeLogRecord(
+        {'msg': f'line {number}', 'levelname': 'INFO', 'name': 'test'},
+    )
+
+
+def _lines(descriptor: int) -> list[dict[str, object]]:
+    read = os.read(descriptor, PIPE_BYTES)
+    return [msgspec.json.decode(line) for line in read.splitlines()]
+
+
+def test_lines_beyond_the_rate_are_counted_and_told() -> None:
+    reader, writer = os.pipe()
+    now_s: list[float] = [0]
+    handler = bounded_logs.BoundedHandler(writer, lambda: now_s[0])
+    handler.setFormatter(logs.JsonFormatter('front-1'))
+    for number in range(bounded_logs.BURST_LINES + 7):
+        handler.emit(_record(number))
+        if not number % 100:
+            _lines(reader)
+    now_s[0] = 1
+    handler.emit(_record(9999))
+    found = _lines(reader)
+    assert found[-2]['dropped'] == 7
+    assert found[-1]['message'] == 'line 9999'
+
+
+def test_a_reader_that_does_not_read_blocks_nothing() -> None:
+    _reader, writer = os.pipe()
+    now_s: list[float] = [0]
+    handler = bounded_logs.BoundedHandler(writer, lambda: now_s[0])
+    handler.setFormatter(logs.JsonFormatter('front-1'))
+    for number in range(3000):
+        now_s[0] += 1
+        handler.emit(_record(number))
+    handler.emit(_record(0))
--- /dev/null
+++ b/tests/test_fleet_decisions.py
@@ -0,0 +1,244 @@
+"""Decisions of a fleet's entry: limits, order of waiting, age of knowledge."""
+
+import random
+import typing
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from camphorstair_core.fleet import (
+    catalogue,
+    ejection,
+    knowledge,
+    membership,
+    placement,
+    roster,
+    stream_progress,
+    waiting,
+    windows,
+)
+
+ENTRIES = 6
+
+
+def _registration(name: str, **other: typing.Any) -> roster.Registration:
+    usual = roster.Registration(
+        endpoint=name,
+        service='engine',
+        address=f'10.0.0.1:{len(name)}',
+        data_centre='levis-nord',
+        state=roster.EndpointState.ready,
+        slots=4,
+        cold_s=0,
+        born_ms=1,
+        membership=None,
+    )
+    return attrs.evolve(usual, **other)
+
+
+def _waiter(organisation: str, priority: int, came_s: float) -> waiting.Waiter:
+    return waiting.Waiter(
+        organisation, priority, came_s, came_s + 0.2, came_s + 1.6
+    )
+
+
+@given(st.lists(st.integers(0, ENTRIES - 1), max_size=400))
+def test_the_repeats_of_all_entries_stay_within_the_bound(
+    senders: list[int],
+) -> None:
+    budgets = [
+        windows.RetryBudget(
+            0.2, 88, windows.SlidingWindow(10), windows.SlidingWindow(10)
+        )
+        for _ in range(ENTRIES)
+    ]
+    entries = windows.EntryCount(ENTRIES, 99).bound()
+    taken = sum(budgets[sender].take(entries, 1) for sender in senders)
+    assert taken <= 88
+
+
+def test_repeats_are_had_again_when_the_window_has_passed() -> None:
+    budget = windows.RetryBudget(
+        0, 8, windows.SlidingWindow(10), windows.SlidingWindow(10)
+    )
+    taken = [budget.take(1, 1) for _ in range(9)]
+    assert taken[0]
+    assert not budget.take(1, 10.9)
+    assert budget.take(1, 11.1)
+
+
+def test_the_cold_limit_of_all_entries_is_within_the_sum() -> None:
+    count = windows.EntryCount()
+    count.note(ENTRIES, 0)
+    share = windows.cold_limit(38, 1.5, 5, count.bound())
+    assert 0 < share * (ENTRIES + windows.UNSEEN_ENTRIES) <= 38 * 1.5 + 5
+
+
+def test_an_entry_that_leaves_counts_for_a_while() -> None:
+    count = windows.EntryCount()
+    count.note(ENTRIES, 0)
+    count.note(2, windows.MEMBERS_LIFE_S / 2)
+    assert count.largest == ENTRIES
+    count.note(2, windows.MEMBERS_LIFE_S + 1)
+    assert count.largest == 2
+
+
+def test_a_request_that_can_be_timely_goes_before_a_late_one() -> None:
+    late = _waiter('a', 1, 0)
+    fresh = _waiter('b', 1, 0.5)
+    queue = waiting.Queue([late, fresh])
+    assert waiting.in_order(queue, 0.6) == [fresh, late]
+
+
+def test_the_organisation_with_less_in_progress_goes_first() -> None:
+    queue = waiting.Queue([_waiter('large', 1, 0), _waiter('small', 1, 0.1)])
+    queue.in_progress['large'] = 5
+    assert waiting.in_order(queue, 0.1)[0].organisation == 'small'
+
+
+def test_a_low_priority_is_not_passed_over_for_ever() -> None:
+    low = waiting.Waiter('a', 2, 0, 99, 99)
+    queue = waiting.Queue([low])
+    for number in range(4):
+        queue.waiters.append(waiting.Waiter('b', 1, number, 99, 99))
+    assert waiting.in_order(queue, 3.5)[0].arrived_s < 1
+    queue.waiters = [low, waiting.Waiter('b', 1, 3, 99, 99)]
+    assert waiting.in_order(queue, 3.5)[0] is low
+
+
+def test_what_cannot_be_whole_in_time_is_given_up() -> None:
+    queue = waiting.Queue([_waiter('a', 1, 0)])
+    assert not waiting.given_up(queue, 1.5)
+    assert waiting.given_up(queue, 1.6)
+    assert not queue.waiters
+
+
+def test_keys_are_current_only_so_long_after_the_proving_call() -> None:
+    known = knowledge.Knowledge()
+    assert not knowledge.keys_current(known, 0, 4.5)
+    knowledge.note_proof(known, sent_s=1, now_s=3)
+    assert knowledge.keys_current(known, 5.4, 4.5)
+    assert not knowledge.keys_current(known, 5.5, 4.5)
+
+
+def test_an_outage_begins_and_ends_once() -> None:
+    known = knowledge.Knowledge()
+    assert knowledge.note_failure(known, 1)
+    assert not knowledge.note_failure(known, 2)
+    assert knowledge.note_proof(known, 3, 4)
+    assert known.regained_s == 4
+    assert not knowledge.note_proof(known, 5, 6)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': roster.EndpointState.draining},
+        {'data_centre': 'charny'},
+        {'service': 'plain'},
+    ],
+)
+def test_an_endpoint_that_may_not_be_used(changes: dict[str, object]) -> None:
+    table = roster.Roster(out={'charny'})
+    roster.register(table, _registration('i-1', **changes), 0)
+    assert not roster.usable(table, 'engine')
+
+
+def test_an_endpoint_that_lapsed_in_an_outage_may_come_back() -> None:
+    table = roster.Roster()
+    roster.register(table, _registration('i-1'), 0)
+    roster.unregister(table, 'i-1', absent_deadline_s=2.5)
+    assert roster.usable(table, 'engine')
+    assert not roster.expire(table, 2.4)
+    roster.register(table, _registration('i-1'), 2.4)
+    assert not roster.expire(table, 9)
+    roster.unregister(table, 'i-1', absent_deadline_s=None)
+    assert not roster.usable(table, 'engine')
+
+
+def test_a_restarted_endpoint_is_a_new_one() -> None:
+    table = roster.Roster()
+    first = roster.register(table, _registration('i-1'), 0)
+    assert roster.register(table, _registration('i-1'), 1) is first
+    again = roster.register(table, _registration('i-1', born_ms=2), 2)
+    assert again is not first
+
+
+def _candidate(name: str, **other: typing.Any) -> placement.Candidate:
+    endpoint = roster.Endpoint(_registration(name, **other))
+    return placement.Candidate(endpoint, placement.Load(), ejection.Health())
+
+
+def test_the_endpoint_with_the_least_work_is_chosen() -> None:
+    busy, idle = _candidate('i-1'), _candidate('i-2')
+    placement.note_report(busy.load, running=3, waiting=1, now_s=1)
+    chosen = placement.choose([busy, idle], 'levis-nord', 1.1, random.Random(1))
+    assert chosen is idle
+
+
+def test_what_was_sent_since_a_report_counts_on_top() -> None:
+    load = placement.Load(running=2)
+    placement.note_report(load, running=5, waiting=0, now_s=1)
+    load.running = 4
+    assert placement.estimated_work(load, 1.2) == 7
+    assert placement.estimated_work(load, 9) == 4
+
+
+def test_ejection_leaves_half_of_a_service() -> None:
+    healths = [ejection.Health() for _ in range(4)]
+    for health in healths:
+        for _ in range(ejection.FAILURES_TO_EJECT):
+            ejection.note_failure(health, healths, 1)
+    assert sum(ejection.is_ejected(one, 1.1) for one in healths) == 2
+    assert not any(ejection.is_ejected(one, 99) for one in healths)
+
+
+def test_the_directory_names_near_members_first_and_forgets_leavers() -> None:
+    members = membership.Members()
+    far = membership.Member('far', 'charny', '2:1', '2:2')
+    near = membership.Member('near', 'levis-nord', '1:1', '1:2')
+    membership.join(members, far)
+    membership.join(members, near)
+    assert membership.addresses(members, None, 'levis-nord') == ['1:1', '2:1']
+    membership.leave(members, 'near', None)
+    membership.leave(members, 'far', absent_deadline_s=3)
+    assert membership.addresses(members, None, 'levis-nord') == ['2:1']
+    membership.expire(members, 3)
+    assert not membership.addresses(members, None, 'levis-nord')
+
+
+@given(st.integers(0, 9), st.integers(1, 9))
+def test_a_resumed_stream_has_every_event_once(have: int, more: int) -> None:
+    events = [b'id: %d\ndata: x\n\n' % one for one in range(1, have + more + 1)]
+    stream = stream_progress.StreamProgress('')
+    first = stream.take(b''.join(events[:have]), resumed=False)
+    rest = stream.take(b''.join(events[max(0, have - 2) :]), resumed=True)
+    assert first + rest == b''.join(events)
+    assert stream.last_event == str(have + more)
+
+
+def test_the_longest_prefix_decides() -> None:
+    def route(name: str, prefix: str) -> catalogue.Route:
+        return catalogue.Route(
+            name,
+            'h',
+            prefix,
+            catalogue.RequestKind.idempotent,
+            2,
+            0.4,
+            0,
+            1,
+            (),
+            1,
+            public=True,
+            resumable=False,
+        )
+
+    routes = catalogue.group_by_host([route('a', '/x/'), route('b', '/x/y/')])
+    known = catalogue.Catalogue(1, routes, {}, None, catalogue.CallerLimits())
+    found = known.find_route('H:80', '/x/y/z')
+    assert found and found.name == 'b'
+    assert known.find_route('h', '/x') is None
+    assert known.find_route('other', '/x/') is None
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,145 @@
+"""What the platform writes, decoded; unusable values are clear errors."""
+
+import pathlib
+import re
+
+import fleet_bench
+import pytest
+
+from camphorstair_core.experts import group_orders
+from camphorstair_platform import (
+    boot,
+    configuration,
+    engines,
+    fields,
+    headers,
+    registrations,
+)
+from camphorstair_runtime import http_messages
+
+ROOT = pathlib.Path(__file__).parents[1]
+WIRE_NAMES = re.compile(
+    'NodeName|RouteKind|MaxAttempts|ColdRemainingMs|PutItems|ExpertCounts'
+    '|kv-(key|range|watch|txn)|x-camphorstair-(server|expect|tenant|not-run)',
+)
+GOOD = (
+    b'{"Service": "s", "Address": "1:1", "Zone": "z", "Slots": 4,'
+    b'"State": "ready"}'
+)
+
+
+def test_no_wire_name_stands_outside_the_platform_folder() -> None:
+    product = [
+        path
+        for package in ('core', 'runtime', 'fleet', 'entry', 'agent')
+        for path in (ROOT / 'packages' / package / 'src').rglob('*.py')
+    ]
+    assert product
+    found = [path for path in product if WIRE_NAMES.search(path.read_text())]
+    assert not found
+
+
+def test_settings_are_decoded() -> None:
+    told = boot.decode(fleet_bench.boot_settings('10.0.0.1:1'))
+    assert told.name == 'front-1'
+    assert told.store.address == '10.0.0.1:1'
+    assert round(told.bounds.revoke_s) == 5
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'[]', b'{}', b'\xff', b'{"NodeName": 3}']
+)
+def test_unusable_settings_are_refused(content: bytes) -> None:
+    with pytest.raises(fields.FormatError):
+        boot.decode(content)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'{"Version": 1.5}',
+        b'{"Version": 1, "Routes": 3}',
+        b'{"Version": 1, "Routes": [{"Name": "a"}]}',
+        b'{"Version": true}',
+    ],
+)
+def test_unusable_configurations_are_refused(content: bytes) -> None:
+    with pytest.raises(fields.FormatError):
+        configuration.decode(content)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'\x00',
+        b'{}',
+        GOOD.replace(b'4', b'"4"'),
+        GOOD.replace(b'1:1', b'nowhere'),
+        GOOD.replace(b'ready', b'gone'),
+    ],
+)
+def test_an_unusable_registration_names_no_endpoint(content: bytes) -> None:
+    with pytest.raises(fields.FormatError):
+        registrations.decode('i-1', content)
+
+
+def test_a_rank_is_decoded_from_its_registration() -> None:
+    found = registrations.decode(
+        'i-1',
+        b'{"Service": "s", "Address": "1:1", "Zone": "z", "Slots": 4,'
+        b'"State": "ready", "born": 7, "size": 12, "group":'
+        b'{"Name": "g", "epoch": 2, "rank": 3, "State": "broken"}}',
+    )
+    assert found.membership
+    assert not found.membership.is_open
+    assert (found.membership.rank, found.membership.size) == (3, 12)
+    assert found.born_ms == 7
+
+
+def test_the_report_of_an_armed_and_held_rank_is_decoded() -> None:
+    report = engines.decode_report(
+        b'{"Running": 4, "Waiting": 1, "KvUsed": 9, "pace": 1.5, "step": 53,'
+        b'"Map": 10, "Prepared": 11, "Armed": {"Version": 11, "step": 60},'
+        b'"held": 60, "group": {"Name": "g", "epoch": 2, "State": "open"}}',
+    )
+    assert report.is_open
+    assert report.rank == group_orders.RankReport(2, 53, 10, 11, 11, 60, 60)
+
+
+def test_counts_are_split_by_set() -> None:
+    found = engines.decode_counts(b'{"ExpertCounts": [1, 2, 3, 4]}', 2)
+    assert found.counts == ((1, 2), (3, 4))
+
+
+def test_a_caller_without_readable_numbers_is_served() -> None:
+    request = http_messages.Request(
+        'POST',
+        '/',
+        [
+            ('x-camphorstair-token-usage', 'many,80'),
+            ('x-camphorstair-deadline-ms', 'soon'),
+            ('authorization', 'Basic abc'),
+        ],
+        b'',
+    )
+    found = headers.decode_caller(request)
+    assert found.limit_s is None
+    assert (found.prompt_tokens, found.answer_tokens) == (0, 80)
+    assert not found.key
+
+
+def test_the_load_and_the_refusal_of_an_answer_are_decoded() -> None:
+    found = headers.decode_answer(
+        503,
+        [
+            ('x-camphorstair-server-load', '3,1,8'),
+            ('x-camphorstair-not-run', '1'),
+            ('keep-alive', 'timeout=5'),
+        ],
+    )
+    assert (found.running, found.waiting) == (3, 1)
+    assert found.not_run
+    assert found.keep_idle_s == pytest.approx(5)
+    assert headers.decode_answer(421, []).not_run
+    assert not headers.decode_answer(503, []).not_run
