--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -80,11 +80,6 @@
         await self.advance(service)
         try:
             await ticket.decided.wait()
-        except curio.CancelledError:
-            if ticket.granted is not None:
-                # The caller left before it could use what it was given.
-                await self.release(service, waiter.organisation, ticket.granted)
-            raise
         finally:
             self.tickets.pop(waiter, None)
             if waiter in queue.waiters:
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -21,7 +21,6 @@
 KEY_AGE_SHARE = 0.9
 # Part of a short time limit that is kept for the answer itself.
 LAST_PART_SHARE = 0.25
-
 # Stands in logs for an age without bound.
 NEVER_CONFIRMED_S = 1e6
 
