Test SIGHUP and SIGTERM on the entry as a process of its own

The entry is started with the platform's settings beside a stand-in store and endpoint; a stream goes on over either signal, and a stopping entry is not ready and still serves. Removing SIGHUP from signals.watch makes the first one fail.

--- /dev/null
+++ b/tests/test_fleet_process.py
@@ -0,0 +1,186 @@
+"""The entry of the fleet as a process of its own, with signals."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from collections import abc
+
+import curio
+import fleet_bench
+import msgspec
+import pytest
+
+from camphorstair_platform import boot
+from camphorstair_runtime import (
+    http_client,
+    http_messages,
+    http_server,
+    settings,
+)
+from camphorstair_standins import loopback, platform_store
+
+EVENTS = 12
+GAP_S = 0.05
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+
+Body = abc.Callable[[boot.BootSettings, subprocess.Popen[bytes]], abc.Awaitable]
+
+
+async def _slow_stream(
+    request: http_messages.Request,
+    responder: http_server.Responder,
+) -> None:
+    """Stream a few events, one after the other."""
+    name = 'x-camphorstair-attempt-id'
+    headers = [
+        (name, request.header(name)),
+        ('x-camphorstair-server-seal', 's'),
+    ]
+    await responder.start(200, headers)
+    for number in range(1, EVENTS + 1):
+        await curio.sleep(GAP_S)
+        await responder.send(b'id: %d\ndata: x\n\n' % number)
+    await responder.finish()
+
+
+async def _with_process(directory: pathlib.Path, body: Body) -> int:
+    """Run an entry beside stand-ins; return its exit code."""
+    store = platform_store.PlatformStore()
+    store_address = loopback.free_address()
+    runner_address = loopback.free_address()
+    content = fleet_bench.boot_settings(store_address)
+    path = directory / 'settings.json'
+    path.write_bytes(content)
+    store.put('op/config', msgspec.json.encode(fleet_bench.configuration()))
+    store.put('servers/i-1', _registration(runner_address))
+    async with curio.TaskGroup(wait=any) as group:
+        for address, handler in (
+            (store_address, store.handle),
+            (runner_address, _slow_stream),
+        ):
+            host, port = settings.split_address(address)
+            server = http_server.Server(handler)
+            await group.spawn(curio.tcp_server, host, port, server.serve)
+        process = _start(path)
+        try:
+            await _run_body(boot.decode(content), process, body)
+        finally:
+            _kill(process)
+        await group.cancel_remaining()
+    return process.returncode
+
+
+async def _run_body(
+    told: boot.BootSettings,
+    process: subprocess.Popen[bytes],
+    body: Body,
+) -> None:
+    await _wait_ready(told)
+    await body(told, process)
+    process.send_signal(signal.SIGTERM)
+    await curio.timeout_after(STOP_LIMIT_S, _ended, process)
+
+
+def _start(path: pathlib.Path) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, '-m', 'camphorstair.fleet.serving'],
+        env={**os.environ, boot.PATH_VARIABLE: str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+def _kill(process: subprocess.Popen[bytes]) -> None:
+    if process.poll() is None:
+        process.kill()
+        process.wait()
+
+
+def _registration(address: str) -> bytes:
+    return msgspec.json.encode(
+        {
+            'Service': 'engine',
+            'Address': address,
+            'Zone': 'levis-nord',
+            'Slots': 4,
+            'State': 'ready',
+        },
+    )
+
+
+async def _ended(process: subprocess.Popen[bytes]) -> None:
+    while process.poll() is None:
+        await curio.sleep(0.02)
+
+
+async def _wait_ready(told: boot.BootSettings) -> None:
+    request = http_messages.Request('GET', '/camphorstair/ready', [], b'')
+    async with curio.timeout_after(START_LIMIT_S):
+        while True:
+            try:
+                answer = await http_client.fetch(told.ready_address, request)
+            except http_client.HttpError:
+                await curio.sleep(0.05)
+                continue
+            if answer.status == 200:
+                return
+            await curio.sleep(0.05)
+
+
+async def _open_stream(told: boot.BootSettings) -> http_client.Exchange:
+    request = http_messages.Request(
+        'POST',
+        '/draft/',
+        [
+            ('x-camphorstair-attempt-id', 'a1'),
+            ('authorization', f'Token {fleet_bench.KEY}'),
+        ],
+        b'',
+    )
+    exchange = await http_client.connect(told.callers_address)
+    await http_client.send(exchange, fleet_bench.HOST, request)
+    await http_client.read_head(exchange, request)
+    return exchange
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_cuts_no_stream_off(
+    tmp_path: pathlib.Path,
+    number: signal.Signals,
+) -> None:
+    async def body(
+        told: boot.BootSettings,
+        process: subprocess.Popen[bytes],
+    ) -> None:
+        stream = await _open_stream(told)
+        assert await stream.read()
+        process.send_signal(number)
+        rest = await stream.read_all()
+        assert rest.endswith(b'id: %d\ndata: x\n\n' % EVENTS)
+        await stream.close()
+
+    assert curio.run(_with_process, tmp_path, body) == 0
+
+
+def test_an_entry_that_stops_is_not_ready_and_still_serves(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def body(
+        told: boot.BootSettings,
+        process: subprocess.Popen[bytes],
+    ) -> None:
+        process.send_signal(signal.SIGTERM)
+        request = http_messages.Request('GET', '/camphorstair/ready', [], b'')
+        status = 200
+        while status == 200:
+            answer = await http_client.fetch(told.ready_address, request)
+            status = answer.status
+        assert status == 503
+        stream = await _open_stream(told)
+        assert (await stream.read_all()).endswith(b'\n\n')
+        await stream.close()
+
+    assert curio.run(_with_process, tmp_path, body) == 0
