--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -201,16 +201,14 @@
     priority = route.priority
     if organisation and organisation.priority is not None:
         priority = organisation.priority
-    whole_until_s = deadline_s - min(
-        route.target_s, (deadline_s - now_s) * LAST_PART_SHARE
-    )
-    patient_until_s = now_s + waiting.patience_s(route) - route.target_s
+    limit_s = min(deadline_s - now_s, waiting.patience_s(route))
+    answer_s = min(route.target_s, limit_s * LAST_PART_SHARE)
     return waiting.Waiter(
         organisation.name if organisation else '',
         priority,
         now_s,
         now_s + route.target_s / 2,
-        min(whole_until_s, patient_until_s),
+        now_s + limit_s - answer_s,
     )
 
 
--- a/tests/test_fleet_entry.py
+++ b/tests/test_fleet_entry.py
@@ -51,6 +51,23 @@
     bench.run(body)
 
 
+@pytest.mark.parametrize('kind', ['idempotent', 'streaming'])
+def test_a_route_whose_limit_is_its_target_is_served(
+    bench: fleet_bench.FleetBench,
+    kind: str,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        short = fleet_bench.route(
+            'short', kind, 'plain', TimeoutMs=400, TargetLatencyMs=400
+        )
+        await running.add_runner('i-1', 'plain', Script(events=3))
+        running.configure(2, Routes=[short])
+        await running.until(lambda: running.entry.configuration.version == 2)
+        assert (await running.call('/short/')).status == 200
+
+    bench.run(body)
+
+
 def test_a_caller_cannot_name_its_organisation(
     bench: fleet_bench.FleetBench,
 ) -> None:
