--- a/tests/test_group_orders.py
+++ b/tests/test_group_orders.py
@@ -146,6 +146,16 @@
     assert orders == [Order(1, OrderKind.go, step=3)]
 
 
+def test_a_hold_is_released_while_ranks_have_prepared_different_maps() -> None:
+    ranks = [rank_world.Rank(prepared=version) for version in (0, 5, 5)]
+    world = rank_world.World(ranks)
+    world.carry_out(Order(1, OrderKind.hold, step=3))
+    reports = world.reports()
+    held = group_orders.holds(reports)
+    orders = group_orders.orders_while_held(reports, SIZE, held)
+    assert orders == [Order(1, OrderKind.go, step=3)]
+
+
 def test_a_silent_rank_stops_all_orders() -> None:
     world = rank_world.World([rank_world.Rank() for _ in range(SIZE)])
     reports = world.reports()
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,89 @@
+"""docs/OPERATIONS.md: each kind of failure is found by the page's steps."""
+
+import logging
+import pathlib
+import re
+
+import fleet_bench
+import pytest
+
+from camphorstair_runtime import http_client
+from camphorstair_standins import platform_runner
+
+PAGE = pathlib.Path(__file__).parents[1] / 'docs' / 'OPERATIONS.md'
+Script = platform_runner.Script
+
+
+@pytest.fixture(autouse=True)
+def _all_lines(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+
+
+def _lines(
+    caplog: pytest.LogCaptureFixture,
+    request: str,
+) -> list[logging.LogRecord]:
+    """Return the lines of a request, as the page's grep does."""
+    return [
+        one
+        for one in caplog.records
+        if getattr(one, 'request', None) == request
+    ]
+
+
+def _says(beginning: str) -> None:
+    """Check that the page shows a line that begins so."""
+    assert f'"message":"{beginning}' in PAGE.read_text()
+
+
+def test_refused_under_load(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        full = Script(status=503, not_run=True)
+        await running.add_runner('i-1', 'plain', full)
+        assert (await running.call('/book/', 'load-1')).status == 503
+
+    fleet_bench.FleetBench().run(body)
+    failed, refused = _lines(caplog, 'load-1')
+    assert failed.getMessage() == 'attempt failed: status 503'
+    assert refused.getMessage().startswith('refused: overloaded')
+    assert refused.__dict__['verdict'] == 'not_run'
+    _says('refused: overloaded')
+
+
+def test_cut_off_midway(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        broken = Script(events=5, breaks_after=2)
+        await running.add_runner('i-1', 'engine', broken)
+        with pytest.raises(http_client.HttpError):
+            await running.call('/draft/', 'cut-1')
+
+    fleet_bench.FleetBench().run(body)
+    found = _lines(caplog, 'cut-1')
+    assert found[0].getMessage().startswith('attempt failed')
+    assert found[0].__dict__['endpoint'] == 'i-1'
+    assert found[0].__dict__['verdict'] == 'may_have_run'
+    assert found[-1].getMessage().startswith('refused: ')
+    _says('attempt failed')
+    _says('refused: answer_broken')
+
+
+def test_refused_for_old_knowledge(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        running.store.faults.refuses = True
+        await running.until(lambda: running.entry.known.lost_s is not None)
+        running.entry.known.proven_s -= 5
+        assert (await running.call('/look/', 'old-1')).status == 503
+
+    fleet_bench.FleetBench().run(body)
+    refused = _lines(caplog, 'old-1')[0]
+    assert re.match(
+        r'refused: no_configuration: keys were last confirmed \d',
+        refused.getMessage(),
+    )
+    assert refused.__dict__['age_s'] > 4
+    assert any(
+        one.getMessage().startswith('store does not answer')
+        for one in caplog.records
+    )
+    _says('refused: no_configuration: keys were last confirmed')
