--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -7,7 +7,7 @@
 import curio
 
 from camphorstair.fleet import state
-from camphorstair_core import errors
+from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
     ejection,
     placement,
@@ -26,6 +26,15 @@
 RETRY_SPREAD = 1.5
 MOST_WAITING = 400
 
+# Statuses that say that a request has not run.
+_PROMISING = frozenset(
+    (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.REQUEST_TIMEOUT,
+    ),
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -71,6 +80,11 @@
         await self.advance(service)
         try:
             await ticket.decided.wait()
+        except curio.CancelledError:
+            if ticket.granted is not None:
+                # The caller left before it could use what it was given.
+                await self.release(service, waiter.organisation, ticket.granted)
+            raise
         finally:
             self.tickets.pop(waiter, None)
             if waiter in queue.waiters:
@@ -239,11 +253,7 @@
     Only a request that surely has not run is answered by a status that
     promises so.
     """
-    promises = error.verdict.value == 'not_run'
-    if promises or error.code.status not in {
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        http.HTTPStatus.TOO_MANY_REQUESTS,
-        http.HTTPStatus.REQUEST_TIMEOUT,
-    }:
+    not_run = error.verdict is verdicts.Verdict.not_run
+    if not_run or error.code.status not in _PROMISING:
         return error.code.status
     return http.HTTPStatus.BAD_GATEWAY
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -35,20 +35,32 @@
         call = self.call
         budget = self.entry.budget(call.service)
         budget.requests.add(clocks.monotonic_s())
-        while True:
-            candidate = await self.dispatcher.acquire(call.service, call.waiter)
-            self.queued_s = clocks.monotonic_s() - call.received_s
+        failure = await self._try_once()
+        while failure is not None and self._may_go_on(failure):
             try:
-                failure = await self._attempt(candidate)
-            finally:
-                await self.dispatcher.release(
-                    call.service, call.organisation, candidate
+                failure = await self._try_once()
+            except errors.RequestError as refusal:
+                # What the attempts before have shown says more to the caller.
+                _LOG.info(
+                    'no other endpoint: %s',
+                    refusal,
+                    extra={'request': call.given.attempt},
                 )
-            if failure is None:
-                return
-            if not self._may_go_on(failure):
-                await self._give_up(failure)
-                return
+                break
+        if failure is not None:
+            await self._give_up(failure)
+
+    async def _try_once(self) -> attempts.AttemptError | None:
+        """Wait for an endpoint and make an attempt at it."""
+        call = self.call
+        candidate = await self.dispatcher.acquire(call.service, call.waiter)
+        self.queued_s = clocks.monotonic_s() - call.received_s
+        try:
+            return await self._attempt(candidate)
+        finally:
+            await self.dispatcher.release(
+                call.service, call.organisation, candidate
+            )
 
     async def _attempt(
         self,
--- a/tests/test_fleet_entry.py
+++ b/tests/test_fleet_entry.py
@@ -1,8 +1,10 @@
 """An entry of a fleet against a stand-in store and endpoints, by sockets."""
 
+import curio
 import fleet_bench
 import pytest
 
+from camphorstair_core.fleet import waiting
 from camphorstair_platform import store
 from camphorstair_runtime import http_client, http_messages
 from camphorstair_standins import platform_runner
@@ -377,3 +379,50 @@
         await client.close()
 
     bench.run(body)
+
+
+def test_a_failure_is_passed_on_when_no_other_endpoint_is_left(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain', Script(status=500))
+        answer = await running.call('/look/')
+        assert answer.status == 500
+        assert http_messages.header(
+            answer.headers, 'x-camphorstair-server-seal'
+        )
+
+    bench.run(body)
+
+
+def test_a_broken_request_is_not_said_to_have_not_run(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain', Script(sealed=False))
+        assert (await running.call('/look/')).status == 502
+
+    bench.run(body)
+
+
+def test_a_caller_that_leaves_while_it_waits_holds_no_endpoint(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        dispatcher = running.process.dispatcher
+        held = [await dispatcher.acquire('plain', _waiter()) for _ in range(4)]
+        waits = await curio.spawn(dispatcher.acquire, 'plain', _waiter())
+        queue = running.entry.queue('plain')
+        await running.until(lambda: queue.waiters)
+        await waits.cancel()
+        assert not queue.waiters
+        await dispatcher.release('plain', 'gravier', held[0])
+        assert held[0].load.running == 3
+        assert queue.in_progress == {'gravier': 3}
+
+    bench.run(body)
+
+
+def _waiter() -> waiting.Waiter:
+    return waiting.Waiter('gravier', 1, 0, 1e9, 1e9)
