--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -20,10 +20,11 @@
 # Requests that may wait at an engine, so that it starts one without a pause.
 ENGINE_BACKLOG = 1
 RETRY_AFTER_S = 0.5
-# A rank group that broke is open again some seconds later.
-REOPEN_S = 1.7
+# A rank group that broke is open again some seconds later; callers wait for a
+# third of their time at most.
+REOPEN_S = 2.1
 # Callers that are refused together come back spread over this factor.
-RETRY_SPREAD = 1.5
+RETRY_SPREAD = 1.25
 MOST_WAITING = 400
 
 # Statuses that say that a request has not run.
--- a/tests/test_fleet_entry.py
+++ b/tests/test_fleet_entry.py
@@ -426,3 +426,23 @@
 
 def _waiter() -> waiting.Waiter:
     return waiting.Waiter('gravier', 1, 0, 1e9, 1e9)
+
+
+def test_a_caller_comes_back_to_a_closed_group_later_and_spread(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        closed = {'Name': 'g', 'epoch': 1, 'rank': 0, 'State': 'broken'}
+        running.register('i-1', 'engine', '127.0.0.1:1', group=closed, size=1)
+        known = running.entry.endpoints.endpoints
+        await running.until(lambda: known)
+        waits = []
+        for number in range(8):
+            answer = await running.call('/draft/', f'a{number}')
+            assert answer.status == 503
+            header = http_messages.header(answer.headers, 'retry-after')
+            waits.append(float(header))
+        # A third of the 8 s that callers of drafts have.
+        assert 2 < min(waits) < max(waits) < 8 / 3
+
+    bench.run(body)
