Apply the operators' limits for callers

Cause: the configuration's Limits were decoded and not used; the listener had 32 KiB, 4 MiB, 20 s and 75 s built in. A change of the limits had no effect.

Change: core.caller_limits holds them; the listener asks for those in force at each request. The time for the head is new; the whole request keeps 20 s.

Tests: tests/test_fleet_limits.py; two of four fail before (200 for a body and a head over the limit), the other two pass by the limits being new.

--- a/packages/core/src/camphorstair_core/fleet/catalogue.py
+++ b/packages/core/src/camphorstair_core/fleet/catalogue.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from camphorstair_core import caller_limits
+
 
 class RequestKind(enum.StrEnum):
     """What may be done with a request whose outcome is unknown."""
@@ -130,22 +132,6 @@
     priority: int | None
 
 
-@attrs.frozen
-class CallerLimits:
-    """What a caller may send, and how long it may take.
-
-    :ivar max_header_bytes: Longest head of a request.
-    :ivar max_body_bytes: Longest body of a request.
-    :ivar header_limit_s: Longest time from a head's first byte to its last.
-    :ivar idle_limit_s: How long a connection may stay idle.
-    """
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_limit_s: float = 3
-    idle_limit_s: float = 15
-
-
 @attrs.frozen
 class Catalogue:
     """One version of the configuration.
@@ -161,7 +147,7 @@
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     organisations: dict[str, Organisation] | None
-    limits: CallerLimits
+    limits: caller_limits.CallerLimits
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -73,7 +73,9 @@
     return Process(
         entry,
         dispatcher,
-        http_server.Server(receiver.handle, refuses_crossing=False),
+        http_server.Server(
+            receiver.handle, entry.caller_limits, refuses_crossing=False
+        ),
         joining.Joining(entry, store.StoreClient(told.store.address)),
     )
 
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from camphorstair.fleet import connections, instruments
+from camphorstair_core import caller_limits
 from camphorstair_core.fleet import (
     catalogue,
     ejection,
@@ -65,6 +66,11 @@
             not self.leaving and self.configuration is not None and self.listed
         )
 
+    def caller_limits(self) -> caller_limits.CallerLimits:
+        """Return what callers may send by the configuration in force."""
+        known = self.configuration
+        return known.limits if known else caller_limits.CallerLimits()
+
     def own_member(self) -> membership.Member:
         """Return this entry as a member."""
         settings = self.settings
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -10,7 +10,7 @@
 
 from camphorstair_runtime import (
     http_messages,
-    http_server,
+    request_reading,
     settings,
     sockets,
     traffic,
@@ -92,7 +92,7 @@
     async def event(self) -> object:
         """Return the next event of the answer."""
         try:
-            return await http_server.next_event(self.sock, self.protocol)
+            return await request_reading.next_event(self.sock, self.protocol)
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpError(str(error), sent=True) from error
 
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -9,16 +9,11 @@
 import curio
 import h11
 
-from camphorstair_core import errors
+from camphorstair_core import caller_limits, errors
 from camphorstair_runtime import closing as connection_closing
-from camphorstair_runtime import http_messages, sockets
+from camphorstair_runtime import http_messages, request_reading, sockets
 
-MAX_HEAD_BYTES = 32768
-MAX_BODY_BYTES = 4194304
-READ_BYTES = 65536
 MAX_PIPELINED_BYTES = 65536
-REQUEST_LIMIT_S = 20.0
-IDLE_LIMIT_S = 75.0
 DRAIN_LIMIT_S = 2.0
 
 _LOG = logging.getLogger(__name__)
@@ -88,7 +83,7 @@
         """
         kept_bytes = 0
         while kept_bytes < MAX_PIPELINED_BYTES:
-            chunk = await self.sock.recv(READ_BYTES)
+            chunk = await self.sock.recv(request_reading.READ_BYTES)
             self.protocol.receive_data(chunk)
             if not chunk:
                 return
@@ -109,7 +104,7 @@
     """State of a listener.
 
     :ivar handler: Answers one request.
-    :ivar request_limit_s: Time in which a request must come whole.
+    :ivar limits: Returns the limits for callers that are in force.
     :ivar refuses_crossing: Whether a connection that ends between requests is
         sent a refusal first, for a request that may be on its way.
     :ivar closing: Whether answers say that their connection ends.
@@ -120,7 +115,9 @@
     """
 
     handler: ResponderHandler
-    request_limit_s: float = REQUEST_LIMIT_S
+    limits: abc.Callable[[], caller_limits.CallerLimits] = (
+        caller_limits.CallerLimits
+    )
     refuses_crossing: bool = True
     closing: bool = False
     ended: bool = False
@@ -133,13 +130,13 @@
         sockets.send_at_once(sock)
         protocol = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=MAX_HEAD_BYTES,
+            max_incomplete_event_size=self.limits().head_bytes,
         )
         self.connections += 1
         try:
             async with sock:
                 await self._serve(sock, protocol)
-        except (OSError, Disconnected):
+        except (OSError, Disconnected, request_reading.IncompleteError):
             _LOG.debug('connection ended')
         finally:
             self.connections -= 1
@@ -200,9 +197,9 @@
             connection_closing.stop_reading(sock)
         try:
             chunk = await curio.timeout_after(
-                IDLE_LIMIT_S,
+                self.limits().idle_limit_s,
                 sock.recv,
-                READ_BYTES,
+                request_reading.READ_BYTES,
             )
         except curio.TaskTimeout:
             return False
@@ -213,91 +210,15 @@
 
     async def _serve_request(self, responder: Responder) -> None:
         try:
-            request = await curio.timeout_after(
-                self.request_limit_s,
-                _read_request,
-                responder,
-            )
-        except curio.TaskTimeout:
-            await _refuse(
-                responder,
-                errors.RequestError(
-                    errors.timeout,
-                    f'the request did not come whole in {self.request_limit_s} s',
-                ),
+            request = await request_reading.read(
+                responder.sock, responder.protocol, self.limits()
             )
-            return
         except errors.RequestError as error:
             await _refuse(responder, error)
             return
-        except h11.RemoteProtocolError as fault:
-            await _refuse(responder, _protocol_fault(fault))
-            return
         await self.handler(request, responder)
 
 
-async def _read_request(responder: Responder) -> http_messages.Request:
-    head = await next_event(responder.sock, responder.protocol)
-    if not isinstance(head, h11.Request):
-        raise Disconnected('no request')
-    _check_head(head)
-    if responder.protocol.they_are_waiting_for_100_continue:
-        go_on = h11.InformationalResponse(status_code=100, headers=[])
-        await responder.sock.sendall(responder.protocol.send(go_on) or b'')
-    return http_messages.Request(
-        head.method.decode(),
-        _text(head.target),
-        [(_text(name), _text(value)) for name, value in head.headers],
-        await _read_body(responder),
-    )
-
-
-def _check_head(head: h11.Request) -> None:
-    """Refuse a head that is too long, also one that came in one read."""
-    lengths = (len(name) + len(value) for name, value in head.headers)
-    if len(head.target) + sum(lengths) > MAX_HEAD_BYTES:
-        message = f'the head is longer than {MAX_HEAD_BYTES} bytes'
-        raise errors.RequestError(errors.head_too_large, message)
-
-
-async def _read_body(responder: Responder) -> bytes:
-    body = bytearray()
-    event = await next_event(responder.sock, responder.protocol)
-    while isinstance(event, h11.Data):
-        body.extend(event.data)
-        if len(body) > MAX_BODY_BYTES:
-            message = f'the body is longer than {MAX_BODY_BYTES} bytes'
-            raise errors.RequestError(errors.too_large, message)
-        event = await next_event(responder.sock, responder.protocol)
-    if not isinstance(event, h11.EndOfMessage):
-        raise Disconnected('half a request')
-    return bytes(body)
-
-
-def _text(raw: bytes) -> str:
-    return raw.decode('latin-1')
-
-
-async def next_event(
-    sock: curio.io.Socket,
-    protocol: h11.Connection,
-) -> object:
-    """Return the next event of a connection, reading as needed."""
-    while True:
-        event = protocol.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        protocol.receive_data(await sock.recv(READ_BYTES))
-
-
-def _protocol_fault(fault: h11.RemoteProtocolError) -> errors.RequestError:
-    status = fault.error_status_hint
-    code = errors.bad_request
-    if status == http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-        code = errors.head_too_large
-    return errors.RequestError(code, str(fault))
-
-
 def _closing_error() -> errors.RequestError:
     """Return the answer to a request that crosses the connection's end."""
     return errors.RequestError(
@@ -326,6 +247,6 @@
     except OSError:
         return
     async with curio.ignore_after(DRAIN_LIMIT_S):
-        chunk = await sock.recv(READ_BYTES)
+        chunk = await sock.recv(request_reading.READ_BYTES)
         while chunk:
-            chunk = await sock.recv(READ_BYTES)
+            chunk = await sock.recv(request_reading.READ_BYTES)
--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -43,8 +43,11 @@
 
 
 def configuration(version: int = 1, **other: object) -> dict:
-    """Return a configuration as operators write it."""
-    return {
+    """Return a configuration as operators write it.
+
+    :param other: Further fields; None leaves one out.
+    """
+    raw = {
         'Version': version,
         'Routes': [
             route('draft', 'streaming', 'engine'),
@@ -58,6 +61,7 @@
         'Tenants': [{'Name': 'gravier', 'ApiKeys': [KEY], 'Priority': 1}],
         **other,
     }
+    return {name: field for name, field in raw.items() if field is not None}
 
 
 def boot_settings(store: str, **other: object) -> bytes:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -6,10 +6,15 @@
 import curio
 import pytest
 
-from camphorstair_core import errors
-from camphorstair_runtime import http_messages, http_server
+from camphorstair_core import caller_limits, errors
+from camphorstair_runtime import (
+    http_messages,
+    http_server,
+    request_reading,
+)
 
 SLOW_LIMIT_S = 0.1
+LIMITS = caller_limits.CallerLimits(request_limit_s=SLOW_LIMIT_S)
 GOOD = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -42,7 +47,7 @@
 ) -> bytes:
     near, far = _connected()
     caller = curio.io.Socket(near)
-    server = http_server.Server(handler, SLOW_LIMIT_S)
+    server = http_server.Server(handler, lambda: LIMITS)
     task = await curio.spawn(server.serve, curio.io.Socket(far), None)
     for part in sent:
         await caller.sendall(part)
@@ -57,7 +62,7 @@
     chunk = b'first'
     while chunk:
         async with curio.ignore_after(5 * SLOW_LIMIT_S):
-            chunk = await caller.recv(http_server.READ_BYTES)
+            chunk = await caller.recv(request_reading.READ_BYTES)
             received += chunk
             continue
         return received
@@ -78,15 +83,15 @@
         (b'nonsense\r\n\r\n', b'400', b'bad_request'),
         (
             b'GET / HTTP/1.1\r\nHost: a\r\nx: %b\r\n\r\n'
-            % (b'y' * http_server.MAX_HEAD_BYTES),
+            % (b'y' * LIMITS.head_bytes),
             b'431',
             b'head_too_large',
         ),
         (
             b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b'
             % (
-                http_server.MAX_BODY_BYTES + 1,
-                b'y' * (http_server.MAX_BODY_BYTES + 1),
+                LIMITS.body_bytes + 1,
+                b'y' * (LIMITS.body_bytes + 1),
             ),
             b'413',
             b'too_large',
@@ -155,7 +160,7 @@
     watch = await curio.spawn(responder.wait_disconnected)
     async with curio.ignore_after(SLOW_LIMIT_S):
         for _ in range(sent):
-            await caller.sendall(b'x' * http_server.READ_BYTES)
+            await caller.sendall(b'x' * request_reading.READ_BYTES)
     await watch.cancel()
     kept = len(responder.protocol.trailing_data[0])
     await caller.close()
@@ -165,5 +170,5 @@
 
 def test_pipelined_bytes_are_kept_up_to_a_bound() -> None:
     kept_bytes = curio.run(_pipeline_without_end, 100)
-    bound = http_server.MAX_PIPELINED_BYTES + http_server.READ_BYTES
+    bound = http_server.MAX_PIPELINED_BYTES + request_reading.READ_BYTES
     assert 0 < kept_bytes <= bound
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from camphorstair_core import caller_limits
 from camphorstair_core.fleet import (
     catalogue,
     ejection,
@@ -237,7 +238,7 @@
         )
 
     routes = catalogue.group_by_host([route('a', '/x/'), route('b', '/x/y/')])
-    known = catalogue.Catalogue(1, routes, {}, None, catalogue.CallerLimits())
+    known = catalogue.Catalogue(1, routes, {}, None, caller_limits.CallerLimits())
     found = known.find_route('H:80', '/x/y/z')
     assert found and found.name == 'b'
     assert known.find_route('h', '/x') is None
