Eject endpoints that hang, and don't blame them for the deadline

Cause: a request whose time ran out was cancelled, so its attempt counted neither as a success nor as a failure; an endpoint that takes requests and says nothing stayed in use. An endpoint's own 504, which it gives at the deadline that it was told, counted against it.

Change: an attempt that ends without any answer after 1 s counts as a failure if another endpoint has answered a request that was sent later; ranks that all wait for the group are not at fault. A 504 of the endpoint counts for nothing.

--- a/packages/core/src/camphorstair_core/fleet/ejection.py
+++ b/packages/core/src/camphorstair_core/fleet/ejection.py
@@ -6,6 +6,8 @@
 EJECTION_S = 2.0
 LONGEST_EJECTION_S = 10.0
 LARGEST_SHARE = 0.5
+# A request without any answer for this long may hang.
+HANG_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -16,12 +18,14 @@
     :ivar ejections: Ejections in a row.
     :ivar ejected_deadline_s: Until when it gets no requests.
     :ivar slowness: Its time to an answer over that of its peers; 1 is usual.
+    :ivar answered_began_s: When the latest request that it answered was sent.
     """
 
     failures: int = 0
     ejections: int = 0
     ejected_deadline_s: float = 0
     slowness: float = 1.0
+    answered_began_s: float = 0
 
 
 def is_ejected(health: Health, now_s: float) -> bool:
@@ -29,10 +33,29 @@
     return now_s < health.ejected_deadline_s
 
 
-def note_success(health: Health) -> None:
-    """Note a whole answer."""
+def note_success(health: Health, began_s: float) -> None:
+    """Note a whole answer.
+
+    :param began_s: When the request was sent.
+    """
     health.failures = 0
     health.ejections = 0
+    health.answered_began_s = max(health.answered_began_s, began_s)
+
+
+def hangs(peers: list[Health], began_s: float, now_s: float) -> bool:
+    """Tell whether a request without any answer shows a fault of its endpoint.
+
+    Endpoints that all wait for the same thing, as the ranks of a group do, are
+    not at fault: another one must have answered a request that was sent later.
+
+    :param peers: All endpoints of the service.
+    :param began_s: When the request was sent.
+    :param now_s: The time.
+    """
+    if now_s - began_s < HANG_S:
+        return False
+    return any(one.answered_began_s > began_s for one in peers)
 
 
 def note_failure(health: Health, peers: list[Health], now_s: float) -> bool:
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -36,6 +36,17 @@
         self.answer = answer
         self.sent = sent
 
+    def timed_out(self) -> bool:
+        """Tell whether the endpoint stopped at the deadline that it was told.
+
+        That is no fault of the endpoint.
+        """
+        answer = self.answer
+        return (
+            answer is not None
+            and answer.status == http.HTTPStatus.GATEWAY_TIMEOUT
+        )
+
 
 @attrs.define(eq=False)
 class Attempt:
@@ -44,12 +55,14 @@
     :ivar entry: The entry's state.
     :ivar call: The request.
     :ivar candidate: The endpoint.
+    :ivar answered: Whether the head of an answer has come.
     :ivar first_part_s: When the first part of the answer was passed on.
     """
 
     entry: state.FleetEntry
     call: calls.Call
     candidate: placement.Candidate
+    answered: bool = False
     first_part_s: float = 0
 
     async def run(self) -> None:
@@ -110,6 +123,7 @@
             answer = headers.decode_answer(exchange.status, exchange.headers)
             self._note_load(answer)
             if answer.attempt in {'', call.given.attempt}:
+                self.answered = True
                 return answer
             await http_client.skip_answer(exchange, host, sent)
         raise http_client.HttpError('answers of other requests', sent=True)
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -3,6 +3,7 @@
 import logging
 
 import attrs
+import curio
 
 from camphorstair.fleet import attempts, calls, dispatch, state
 from camphorstair_core import errors, verdicts
@@ -69,8 +70,12 @@
         """Make an attempt; return why it failed, or None if it did not."""
         attempt = attempts.Attempt(self.entry, self.call, candidate)
         endpoint = candidate.endpoint.registration.endpoint
+        began_s = clocks.monotonic_s()
         try:
             await attempt.run()
+        except curio.CancelledError:
+            self._note_unanswered(attempt, began_s)
+            raise
         except attempts.AttemptError as failure:
             self.call.sent = False
             self.call.attempts += failure.sent
@@ -78,38 +83,59 @@
             self.call.verdict = verdicts.worst(
                 self.call.verdict, failure.verdict
             )
-            self._note_failure(candidate, failure)
+            if not failure.timed_out():
+                self._note_failure(candidate, str(failure), failure.verdict)
             return failure
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
-        ejection.note_success(candidate.health)
+        ejection.note_success(candidate.health, began_s)
         self._note_answer(endpoint, attempt)
         return None
 
+    def _note_unanswered(
+        self,
+        attempt: attempts.Attempt,
+        began_s: float,
+    ) -> None:
+        """Note that time ran out, or the caller left, before any answer."""
+        now_s = clocks.monotonic_s()
+        if not attempt.answered and ejection.hangs(
+            self._peers(), began_s, now_s
+        ):
+            self._note_failure(
+                attempt.candidate,
+                f'no answer in {now_s - began_s:.1f} s',
+                verdicts.Verdict.may_have_run,
+            )
+
     def _note_failure(
         self,
         candidate: placement.Candidate,
-        failure: attempts.AttemptError,
+        reason: str,
+        verdict: verdicts.Verdict,
     ) -> None:
-        now_s = clocks.monotonic_s()
-        peers = [
-            self.entry.candidate(one).health
-            for one in roster.usable(self.entry.endpoints, self.call.service)
-        ]
-        ejected = ejection.note_failure(candidate.health, peers, now_s)
+        ejected = ejection.note_failure(
+            candidate.health, self._peers(), clocks.monotonic_s()
+        )
         if ejected:
             self.entry.meters.ejections.add(1)
         _LOG.info(
             'attempt failed: %s',
-            failure,
+            reason,
             extra={
                 'request': self.call.given.attempt,
                 'endpoint': candidate.endpoint.registration.endpoint,
-                'verdict': failure.verdict.value,
+                'verdict': verdict.value,
                 'ejected': ejected,
             },
         )
 
+    def _peers(self) -> list[ejection.Health]:
+        return [
+            self.entry.candidate(one).health
+            for one in roster.usable(self.entry.endpoints, self.call.service)
+        ]
+
     def _may_go_on(self, failure: attempts.AttemptError) -> bool:
         """Tell whether another attempt is allowed after a failure."""
         call = self.call
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -196,6 +196,20 @@
     assert not any(ejection.is_ejected(one, 99) for one in healths)
 
 
+@pytest.mark.parametrize(
+    ('answered_began_s', 'now_s', 'hangs'),
+    [(5.1, 6.5, True), (5.1, 5.9, False), (4.9, 6.5, False)],
+)
+def test_only_an_endpoint_whose_peers_answer_later_requests_hangs(
+    answered_began_s: float,
+    now_s: float,
+    hangs: bool,
+) -> None:
+    healths = [ejection.Health() for _ in range(2)]
+    ejection.note_success(healths[0], answered_began_s)
+    assert ejection.hangs(healths, 5, now_s) is hangs
+
+
 def test_the_directory_names_near_members_first_and_forgets_leavers() -> None:
     members = membership.Members()
     far = membership.Member('far', 'charny', '2:1', '2:2')
