Plan expert maps by the ranks' paces

Change: a rank's load counts times its pace.

Tests: tests/test_even_maps.py, the two new ones fail before.

--- a/packages/agent/src/camphorstair_agent/fleet/leading.py
+++ b/packages/agent/src/camphorstair_agent/fleet/leading.py
@@ -147,7 +147,8 @@
         if not counts or sets is None:
             return
         self.planner.note(counts)
-        planned = self.planner.plan(sets)
+        paces = [states[rank].pace for rank in sorted(states)]
+        planned = self.planner.plan(sets, paces)
         if planned is None:
             return
         self.planned += 1
@@ -155,14 +156,15 @@
             self.leadership.revision, self.planned
         )
         self.current = _Plan(version, planned)
-        skew = self.planner.skew(sets)
+        skew = self.planner.skew(sets, paces)
         self.agent.meters.skew.record(skew)
         _LOG.info(
             'new map',
             extra={
                 'version': version,
                 'skew': round(skew, 3),
-                'expected': round(self.planner.skew(planned), 3),
+                'expected': round(self.planner.skew(planned, paces), 3),
+                'slowest_pace': max(paces),
             },
         )
 
--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -117,11 +117,13 @@
         if reply is None:
             return None
         try:
-            report = engines.decode_report(reply.body).rank
+            found = engines.decode_report(reply.body)
         except fields.FormatError as error:
             _LOG.warning('report of rank %s: %s', rank, error)
             return None
-        return internal_messages.RankState(report) if report else None
+        if found.rank is None:
+            return None
+        return internal_messages.RankState(found.rank, found.pace)
 
     async def _ask_agent(
         self,
--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -6,7 +6,6 @@
 import attrs
 
 from camphorstair_agent.fleet import engine_calls
-from camphorstair_core.experts import group_orders
 from camphorstair_fleet import internal_messages
 from camphorstair_platform import engines, fields
 from camphorstair_runtime import http_client, http_messages, http_server
@@ -47,28 +46,32 @@
         if request.path == internal_messages.ORDER_PATH:
             return _message(await self._order(request.body))
         if request.path == internal_messages.STATE_PATH:
-            return _message(internal_messages.RankState(await self._report()))
+            return _message(await self._state())
         if request.path == internal_messages.STATE_WITH_COUNTS_PATH:
             return _message(await self._state_with_counts())
         return http_messages.json_response(
             http.HTTPStatus.NOT_FOUND, {'error': f'no call {request.path}'}
         )
 
-    async def _report(self) -> group_orders.RankReport:
+    async def _state(
+        self,
+        experts: engines.BySet = (),
+        counts: engines.BySet = (),
+    ) -> internal_messages.RankState:
         answer = await self.calls.call(engines.report_request())
         report = engines.decode_report(answer.body)
         if report.rank is None:
             raise fields.FormatError('the engine is no rank of a group')
-        return report.rank
+        return internal_messages.RankState(
+            report.rank, report.pace, experts, counts
+        )
 
     async def _state_with_counts(self) -> internal_messages.RankState:
         counts = await self.calls.call(engines.counts_request())
         maps = await self.calls.call(engines.maps_request())
         experts = engines.decode_maps(maps.body).experts
-        return internal_messages.RankState(
-            await self._report(),
-            experts,
-            engines.decode_counts(counts.body, len(experts)).counts,
+        return await self._state(
+            experts, engines.decode_counts(counts.body, len(experts)).counts
         )
 
     async def _order(self, content: bytes) -> internal_messages.OrderOutcome:
--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -1,7 +1,7 @@
 """Plans expert maps of engines that share an expert's tokens evenly.
 
-A pass lasts, set by set, as long as the most loaded rank's part. A set's
-planner makes one change after another, always the one that lowers the load of
+A pass lasts, set by set, as long as the most loaded rank's part, where a slow
+rank's part counts for its pace. A set's planner makes one change after another, always the one that lowers the load of
 the busiest ranks most: a further replica of an expert, or an exchange of two
 experts between ranks. A new expert has to be copied to its rank, so a plan
 adds only a few to each.
@@ -43,13 +43,15 @@
     :ivar held: Experts of each rank.
     :ivar holders: Ranks of each expert.
     :ivar loads: Load of each expert; the mean of a rank is 1.
-    :ivar by_rank: Load of each rank.
+    :ivar paces: How much slower than usual each rank is.
+    :ivar by_rank: Time that each rank takes for its load.
     :ivar original: Experts of each rank before the plan.
     """
 
     held: list[set[int]]
     holders: list[set[int]]
     loads: list[float]
+    paces: Loads
     by_rank: list[float]
     original: list[frozenset[int]]
 
@@ -57,6 +59,10 @@
         """Return how many experts a rank would have to copy."""
         return len(self.held[rank] - self.original[rank])
 
+    def time(self, expert: int, rank: int, copies: int) -> float:
+        """Return the time that a rank takes for its part of an expert."""
+        return self.loads[expert] / copies * self.paces[rank]
+
 
 @attrs.frozen
 class _Change:
@@ -79,21 +85,34 @@
     ]
 
 
-def skew(held: Held, loads: Loads) -> float:
-    """Return the load of the busiest rank over the mean; 1 is even."""
+def skew(held: Held, loads: Loads, paces: Loads = ()) -> float:
+    """Return the time of the slowest rank over the mean at the usual pace.
+
+    :param held: Experts of each rank.
+    :param loads: Load of each expert in any unit.
+    :param paces: How much slower than usual each rank is; empty if none is.
+    :returns: 1 for even loads of ranks at their usual pace.
+    """
     by_rank = rank_loads(held, loads)
     total = sum(by_rank)
-    return max(by_rank) * len(by_rank) / total if total else 1.0
+    times = _times(by_rank, paces)
+    return max(times) * len(by_rank) / total if total else 1.0
 
 
-def plan_set(held: Held, loads: Loads, limits: SetLimits) -> Held:
-    """Return a map of one set that loads the ranks more evenly.
+def plan_set(
+    held: Held,
+    loads: Loads,
+    limits: SetLimits,
+    paces: Loads = (),
+) -> Held:
+    """Return a map of one set by which the ranks take more even times.
 
     :param held: Experts of each rank now.
     :param loads: Load of each expert in any unit.
     :param limits: What may be done.
+    :param paces: How much slower than usual each rank is; empty if none is.
     """
-    draft = _draft(held, loads)
+    draft = _draft(held, loads, paces)
     while True:
         change = _best_change(draft, limits)
         if change is None:
@@ -101,7 +120,13 @@
         _apply(draft, change)
 
 
-def _draft(held: Held, loads: Loads) -> _Draft:
+def _times(by_rank: list[float], paces: Loads) -> list[float]:
+    if not paces:
+        return by_rank
+    return [load * pace for load, pace in zip(by_rank, paces, strict=True)]
+
+
+def _draft(held: Held, loads: Loads, paces: Loads) -> _Draft:
     unit = sum(loads) / len(held) or 1.0
     scaled = [load / unit for load in loads]
     holders: list[set[int]] = [set() for _ in loads]
@@ -112,7 +137,8 @@
         [set(one) for one in held],
         holders,
         scaled,
-        rank_loads(held, scaled),
+        paces or list(itertools.repeat(1.0, len(held))),
+        _times(rank_loads(held, scaled), paces),
         [frozenset(one) for one in held],
     )
 
@@ -132,9 +158,8 @@
     ranks = sorted(range(len(draft.held)), key=draft.by_rank.__getitem__)
     busiest = ranks[-1]
     hot = _by_part(draft, busiest)[-_EXPERTS_TRIED:]
-    for rank in ranks[:_RANKS_TRIED]:
-        if draft.new_count(rank) >= limits.new:
-            continue
+    open_ranks = [one for one in ranks if draft.new_count(one) < limits.new]
+    for rank in open_ranks[:_RANKS_TRIED]:
         for expert in hot:
             if rank not in draft.holders[expert]:
                 yield from _additions(draft, limits, expert, rank, busiest)
@@ -181,9 +206,9 @@
         before = draft.holders[expert]
         after = _holders_after(draft, change, expert)
         for rank in before:
-            by_rank[rank] -= draft.loads[expert] / len(before)
+            by_rank[rank] -= draft.time(expert, rank, len(before))
         for rank in after:
-            by_rank[rank] += draft.loads[expert] / len(after)
+            by_rank[rank] += draft.time(expert, rank, len(after))
     return sum(max(load, 0) ** _POWER for load in by_rank)
 
 
@@ -201,4 +226,4 @@
         draft.held[rank].remove(removed)
         draft.holders[removed].remove(rank)
     scaled = tuple(tuple(one) for one in draft.held)
-    draft.by_rank = rank_loads(scaled, draft.loads)
+    draft.by_rank = _times(rank_loads(scaled, draft.loads), draft.paces)
--- a/packages/core/src/camphorstair_core/experts/group_planner.py
+++ b/packages/core/src/camphorstair_core/experts/group_planner.py
@@ -43,29 +43,33 @@
                 smoothing.note_counts(smoothed, grown)
         self.last = counts
 
-    def skew(self, sets: Sets) -> float:
-        """Return the mean skew of a map under the estimated load."""
+    def skew(self, sets: Sets, paces: even_maps.Loads = ()) -> float:
+        """Return the mean skew of a map under the estimated load.
+
+        :param paces: How much slower than usual each rank is; empty if none.
+        """
         if not self._known(sets):
             return 1.0
         found = [
-            even_maps.skew(held, smoothed.shares)
+            even_maps.skew(held, smoothed.shares, paces)
             for held, smoothed in zip(sets, self.loads, strict=True)
         ]
         return sum(found) / len(found)
 
-    def plan(self, sets: Sets) -> Sets | None:
+    def plan(self, sets: Sets, paces: even_maps.Loads = ()) -> Sets | None:
         """Return a map that is worth its copies, or None.
 
         :param sets: The map in use.
+        :param paces: How much slower than usual each rank is; empty if none.
         """
         if not self._known(sets):
             return None
         limits = even_maps.SetLimits(self.places, min(self.spare, NEW_EXPERTS))
         planned = tuple(
-            even_maps.plan_set(held, smoothed.shares, limits)
+            even_maps.plan_set(held, smoothed.shares, limits, paces)
             for held, smoothed in zip(sets, self.loads, strict=True)
         )
-        if self.skew(sets) - self.skew(planned) < LEAST_GAIN:
+        if self.skew(sets, paces) - self.skew(planned, paces) < LEAST_GAIN:
             return None
         return planned
 
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -43,12 +43,14 @@
     """An agent tells the planner the state of its rank.
 
     :ivar report: The rank's maps.
+    :ivar pace: How much slower than usual its engine is; 1 is usual.
     :ivar experts: Experts that it holds, by set; empty if not asked for.
     :ivar counts: How often its requests chose each expert since its start, by
         set; empty if not asked for.
     """
 
     report: group_orders.RankReport
+    pace: float = 1.0
     experts: tuple[tuple[int, ...], ...] = ()
     counts: tuple[tuple[int, ...], ...] = ()
 
--- a/tests/test_even_maps.py
+++ b/tests/test_even_maps.py
@@ -54,6 +54,33 @@
     )
 
 
+@hypothesis.given(st.integers(0, 20), st.sampled_from([1.6, 5.0, 12.0]))
+def test_a_slow_rank_gives_its_experts_away(seed: int, pace: float) -> None:
+    """One rank of a group that works at the pace of its slowest one is slow."""
+    loads = _popular(seed)
+    held = even_maps.initial(EXPERTS, RANKS)
+    for _ in range(PLANS_AFTER_A_SHIFT):
+        held = even_maps.plan_set(held, loads, LIMITS)
+    paces = [pace if rank == 4 else 1.0 for rank in range(RANKS)]
+    before = even_maps.skew(held, loads, paces)
+    for _ in range(PLANS_AFTER_A_SHIFT):
+        held = even_maps.plan_set(held, loads, LIMITS, paces)
+    after = even_maps.skew(held, loads, paces)
+    assert after <= before
+    assert after < 2
+    assert set(itertools.chain.from_iterable(held)) == set(range(EXPERTS))
+
+
+def test_ranks_that_are_all_as_slow_move_nothing() -> None:
+    held = even_maps.initial(EXPERTS, RANKS)
+    even = list(itertools.repeat(1.0, EXPERTS))
+    paces = list(itertools.repeat(5.0, RANKS))
+    planned = even_maps.plan_set(held, even, LIMITS, paces)
+    assert even_maps.rank_loads(planned, even) == even_maps.rank_loads(
+        held, even
+    )
+
+
 def test_rank_loads_share_an_expert_between_its_holders() -> None:
     found = even_maps.rank_loads(((0, 1), (1,)), [2, 4])
     assert list(map(round, found)) == [4, 2]
