A restarted agent takes over its own lease as planner

Change: the value names the VM; a process that finds its own VM's name ends that lease, since its predecessor is gone, and takes the key anew, with a higher revision. Another VM still waits for the lapse.

--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -58,7 +58,7 @@
             self._take_endpoint(item)
         own = await self.client.scan(keys.PREFIX, stale=True)
         self.agent.members = {}
-        self.agent.planners = set()
+        self.agent.planners = {}
         for item in own.rows:
             self._take_own(item)
 
@@ -80,7 +80,7 @@
     def _take_own(self, item: store.Item) -> None:
         if item.key.startswith(keys.PLANNERS_PREFIX):
             group = item.key.removeprefix(keys.PLANNERS_PREFIX)
-            self.agent.planners.add(group)
+            self.agent.planners[group] = (item.content or b'').decode()
         elif item.key.startswith(keys.MEMBERS_PREFIX):
             try:
                 found = msgspec.json.decode(
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -67,13 +67,15 @@
         _LOG.warning('no longer planner of group %s', membership.group)
 
     async def _acquire(self, group: str) -> leasing.Leadership | None:
-        if group in self.agent.planners:
+        own = self.agent.settings.name
+        if self.agent.planners.get(group, own) != own:
             return None
-        holder = self.agent.settings.name.encode()
         leadership = leasing.Leadership(
-            self.client, keys.planner(group), holder, LEASE_S
+            self.client, keys.planner(group), own.encode(), LEASE_S
         )
         try:
+            if group in self.agent.planners:
+                await leadership.end_former()
             taken = await leadership.acquire()
         except store.StoreError as error:
             _LOG.warning('lease of group %s not taken: %s', group, error)
--- a/packages/agent/src/camphorstair_agent/fleet/state.py
+++ b/packages/agent/src/camphorstair_agent/fleet/state.py
@@ -16,7 +16,7 @@
     :ivar endpoints: The registered endpoints.
     :ivar members: The entries that serve.
     :ivar services: The services of the configuration by name.
-    :ivar planners: Who plans for each rank group.
+    :ivar planners: Name of the VM that plans for each rank group.
     :ivar report: The last report of its engine; None while it is silent.
     """
 
@@ -25,7 +25,7 @@
     endpoints: dict[str, roster.Registration] = attrs.field(factory=dict)
     members: dict[str, membership.Member] = attrs.field(factory=dict)
     services: dict[str, catalogue.Service] = attrs.field(factory=dict)
-    planners: set[str] = attrs.field(factory=set)
+    planners: dict[str, str] = attrs.field(factory=dict)
     report: engines.EngineReport | None = None
 
     def own_registration(self) -> roster.Registration | None:
--- a/packages/fleet/src/camphorstair_fleet/leasing.py
+++ b/packages/fleet/src/camphorstair_fleet/leasing.py
@@ -56,6 +56,17 @@
         self._extend(sent_s)
         return True
 
+    async def end_former(self) -> None:
+        """End the hold of an earlier process on this VM.
+
+        That process is gone: only one runs here at a time.
+
+        :raises store.StoreError: if that is not known.
+        """
+        item = await self.client.get(self.key)
+        if item is not None and item.content == self.holder:
+            await self.client.end(item.lease)
+
     async def renew(self) -> bool:
         """Renew the lease.
 
