Let an empty watch prove more; compare ranks that hang to themselves

An answer without changes, though, comes when the store has waited: it proves up to then, less the second in which a store that is about to lose its history may keep changes from the watches. 0.6 s gained at no call.

Cause, second: after the group had formed again, 23 requests at busy ranks got no first part within the caller's patience and counted as hanging, since other ranks had answered later ones. A rank serves in order of arrival: only a later request that it answered itself shows a fault. Requests to see whether a route's time limit is kept also counted; an endpoint says itself that it stops at the deadline, so the entry waits 0.1 s for that, and a request that ends so is no fault.

Tests: tests/test_mirroring.py (first case fails before); test_fleet_ejection.py.

--- a/packages/core/src/camphorstair_core/fleet/ejection.py
+++ b/packages/core/src/camphorstair_core/fleet/ejection.py
@@ -44,10 +44,10 @@
 def hangs(peers: list[Health], began_s: float, now_s: float) -> bool:
     """Tell whether a request without any answer shows a fault of its endpoint.
 
-    Endpoints that all wait for the same thing, as the ranks of a group do, are
-    not at fault: another one must have answered a request that was sent later.
+    Endpoints that all wait for the same thing are not at fault: one must have
+    answered a request that was sent later.
 
-    :param peers: All endpoints of the service.
+    :param peers: The endpoints to which it is compared.
     :param began_s: When the request was sent.
     :param now_s: The time.
     """
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -142,11 +142,16 @@
     ) -> None:
         """Note that time ran out, or the caller left, before any answer."""
         now_s = clocks.monotonic_s()
-        if not attempt.answered and ejection.hangs(
-            self._peers(), began_s, now_s
-        ):
+        if attempt.answered or not _answer_due(self.call, now_s):
+            return
+        candidate = attempt.candidate
+        peers = self._peers()
+        if candidate.endpoint.registration.membership is not None:
+            # Ranks work together, and each in the order of arrival.
+            peers = [candidate.health]
+        if ejection.hangs(peers, began_s, now_s):
             self._note_failure(
-                attempt.candidate,
+                candidate,
                 f'no answer in {now_s - began_s:.1f} s',
                 verdicts.Verdict.may_have_run,
             )
@@ -183,6 +188,8 @@
         """Tell whether another attempt is allowed after a failure."""
         moving = self.moving
         self.moving = False
+        if clocks.monotonic_s() >= self.call.deadline_s:
+            return False
         if not self._may_repeat(self.call.attempts):
             return False
         return moving or not failure.sent or self._take_repeat()
@@ -241,3 +248,12 @@
                 'whole_s': round(clocks.monotonic_s() - call.received_s, 3),
             },
         )
+
+
+def _answer_due(call: calls.Call, now_s: float) -> bool:
+    """Tell whether an endpoint should have said something by now.
+
+    Callers leave a stream that says nothing; else the endpoint says at the
+    deadline that it stops.
+    """
+    return call.streaming() or now_s >= call.deadline_s
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -17,6 +17,8 @@
 from camphorstair_runtime import clocks, http_messages, http_server
 
 DEFAULT_LIMIT_S = 60.0
+# An endpoint that stops at the deadline says so itself within this time.
+ENDPOINT_GRACE_S = 0.1
 # Stands in logs for an age without bound.
 NEVER_CONFIRMED_S = 1e6
 
@@ -46,8 +48,9 @@
             await self._refuse(request, responder, error)
             return
         remaining_s = call.deadline_s - clocks.monotonic_s()
+        limit_s = remaining_s + ENDPOINT_GRACE_S
         try:
-            await curio.timeout_after(remaining_s, self._forward, call)
+            await curio.timeout_after(limit_s, self._forward, call)
         except curio.TaskTimeout:
             await self._refuse(request, responder, self._late(call))
         except errors.RequestError as failure:
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -12,6 +12,9 @@
 
 ALL_KEYS = ''
 WATCH_WAIT_S = 1.6
+# A store that is about to lose its history may keep changes from the watches
+# for this long.
+MUTE_S = 1.0
 # After an outage the state of the store is asked for without a wait.
 SHORT_WAIT_S = 0.001
 RETRY_INTERVAL_S = 0.25
@@ -58,8 +61,6 @@
             except (store.StoreError, fields.FormatError) as error:
                 self._note_failure(sent_s, error)
                 await curio.sleep(RETRY_INTERVAL_S)
-            else:
-                self._note_proof(sent_s)
             await self.changed()
 
     def absent_deadline_s(self) -> float | None:
@@ -75,13 +76,20 @@
         return clocks.monotonic_s() + RETURN_LIMIT_S
 
     async def _follow_once(self, revision: int | None) -> int:
+        sent_s = clocks.suspended_s()
         if revision is None:
-            return await self._read_all()
+            revision = await self._read_all()
+            self._note_proof(sent_s)
+            return revision
         lost = self.known.lost_s is not None
         wait_s = SHORT_WAIT_S if lost else WATCH_WAIT_S
         changes = await self.client.watch(ALL_KEYS, revision, wait_s)
         for item in changes.rows:
             self._take(item)
+        if not changes.rows and clocks.suspended_s() - sent_s >= wait_s:
+            # Nothing had changed when the store had waited.
+            sent_s += max(0, wait_s - MUTE_S)
+        self._note_proof(sent_s)
         return changes.revision
 
     async def _read_all(self) -> int:
