Add the command trace: from a request's identifier to its cause

Cause: the page's steps need a grep over all entries, the order of time, and a look for the last line of another kind at the same entry.

Change: camphorstair trace ID LOG... prints the request's lines and the cause by the same steps (core.request_traces decides, log_commands reads). What stands before the first brace of a line is passed over.

--- a/packages/entry/src/camphorstair/command_line.py
+++ b/packages/entry/src/camphorstair/command_line.py
@@ -12,6 +12,7 @@
     acceptance,
     applying,
     command_options,
+    log_commands,
     operators,
     rule_commands,
     rules_file,
@@ -149,7 +150,13 @@
     )
 
 
+def application() -> typer.Typer:
+    """Return the command with all its parts."""
+    rule_commands.register(_APP)
+    log_commands.register(_APP)
+    return _APP
+
+
 def main() -> None:
     """Run the command."""
-    rule_commands.register(_APP)
-    _APP()
+    application()()
--- /dev/null
+++ b/packages/entry/src/camphorstair/log_commands.py
@@ -0,0 +1,57 @@
+"""The command that reads logs: trace."""
+
+import pathlib
+import typing
+
+import msgspec
+import typer
+
+from camphorstair import command_options
+from camphorstair_core import request_traces
+
+Request = typing.Annotated[
+    str,
+    typer.Argument(help='Identifier of the request.'),
+]
+LogFiles = typing.Annotated[
+    list[pathlib.Path],
+    typer.Argument(help='Logs of the entries.'),
+]
+
+
+def trace(request: Request, logs: LogFiles) -> None:
+    """Tell from logs what became of a request, and why.
+
+    Example: camphorstair trace 1f72ee654700503c entry-1.log entry-2.log
+
+    Prints the request's lines and the cause of its end. What stands before
+    the first brace of a line is passed over, and so are lines without one.
+
+    Exit codes: 0 shown, 2 a log can't be read.
+    """
+    lines = [line for path in logs for line in _read(path)]
+    for told in request_traces.trace(lines, request):
+        typer.echo(told)
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands to an application."""
+    app.command()(trace)
+
+
+def _read(path: pathlib.Path) -> list[request_traces.LogLine]:
+    try:
+        text = path.read_text(errors='replace')
+    except OSError as error:
+        command_options.fail(str(error), command_options.USAGE_ERROR)
+    found = (decode(line) for line in text.splitlines())
+    return [line for line in found if line is not None]
+
+
+def decode(line: str) -> request_traces.LogLine | None:
+    """Return what a line says, or None if it is none of a process."""
+    _prefix, brace, content = line.partition('{')
+    try:
+        return msgspec.json.decode(brace + content, type=request_traces.LogLine)
+    except msgspec.DecodeError:
+        return None
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,7 +7,9 @@
 import fleet_bench
 import pytest
 
-from camphorstair_runtime import http_client
+from camphorstair import log_commands
+from camphorstair_core import request_traces
+from camphorstair_runtime import http_client, logs
 from camphorstair_standins import platform_runner
 
 PAGE = pathlib.Path(__file__).parents[1] / 'docs' / 'OPERATIONS.md'
@@ -31,6 +33,20 @@
     ]
 
 
+def _cause(caplog: pytest.LogCaptureFixture, request: str) -> str:
+    """Return the cause that the command on the page tells."""
+    formatter = logs.JsonFormatter('front-1')
+    lines = [
+        line
+        for line in map(
+            log_commands.decode, map(formatter.format, caplog.records)
+        )
+        if line is not None
+    ]
+    found = request_traces.trace(lines, request)
+    return next(told for told in found if told.startswith('cause: '))
+
+
 def _says(beginning: str) -> None:
     """Check that the page shows a line that begins so."""
     assert f'"message":"{beginning}' in PAGE.read_text()
@@ -47,6 +63,7 @@
     assert failed.getMessage() == 'attempt failed: status 503'
     assert refused.getMessage().startswith('refused: overloaded')
     assert refused.__dict__['verdict'] == 'not_run'
+    assert _cause(caplog, 'load-1') == 'cause: endpoint i-1: status 503'
     _says('refused: overloaded')
 
 
@@ -63,6 +80,7 @@
     assert found[0].__dict__['endpoint'] == 'i-1'
     assert found[0].__dict__['verdict'] == 'may_have_run'
     assert found[-1].getMessage().startswith('refused: ')
+    assert _cause(caplog, 'cut-1').startswith('cause: endpoint i-1: ')
     _says('attempt failed')
     _says('refused: answer_broken')
 
@@ -82,6 +100,7 @@
         refused.getMessage(),
     )
     assert refused.__dict__['age_s'] > 4
+    assert 'store does not answer: ' in _cause(caplog, 'old-1')
     assert any(
         one.getMessage().startswith('store does not answer')
         for one in caplog.records
