End a listener's connections with the listener

Symptom: a run of tests/test_fleet_*.py stood still for over 60 s in the teardown of test_a_stream_that_ran_long_goes_on_after_a_break; 48 repeats of the file did not, a loop over all files with a dump of curio's tasks did once.

Cause: curio's tcp_server, cancelled while a connection it has not accepted yet is ready, lists its tasks to cancel, then lets its accepting task spawn one more, and waits for that connection's end. A process that is stopped just then would wait for its callers and be killed; agents get a connection from the planner every 10 ms.

Change: runtime.listening accepts in the task that ends the connections; all listeners use it.

--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -22,6 +22,7 @@
 from camphorstair_runtime import (
     bounded_logs,
     http_server,
+    listening,
     metrics,
     signals,
 )
@@ -45,7 +46,7 @@
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
-            curio.tcp_server(
+            listening.serve(
                 told.address,
                 told.internal_port,
                 http_server.Server(service.handle).serve,
--- a/packages/agent/src/camphorstair_agent/serving.py
+++ b/packages/agent/src/camphorstair_agent/serving.py
@@ -23,6 +23,7 @@
     clocks,
     following,
     leases,
+    listening,
     logs,
     metrics,
     node,
@@ -108,10 +109,10 @@
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
-            curio.tcp_server(
+            listening.serve(
                 *settings.split_address(checked.listen.peers),
                 server.serve,
-                ssl=security.peers_context(checked.security),
+                security.peers_context(checked.security),
             ),
         )
         await group.spawn(follower.run)
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -28,6 +28,7 @@
     bounded_logs,
     clocks,
     http_server,
+    listening,
     metrics,
     settings,
     shutdown,
@@ -155,7 +156,7 @@
 ) -> None:
     if address:
         host, port = settings.split_address(address)
-        await group.spawn(curio.tcp_server(host, port, server.serve))
+        await group.spawn(listening.serve(host, port, server.serve))
 
 
 async def _tick(process: Process) -> None:
--- a/packages/entry/src/camphorstair/serving.py
+++ b/packages/entry/src/camphorstair/serving.py
@@ -12,6 +12,7 @@
     following,
     heartbeats,
     http_server,
+    listening,
     logs,
     metrics,
     node,
@@ -51,17 +52,17 @@
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
-            curio.tcp_server(
+            listening.serve(
                 *settings.split_address(checked.listen.callers),
                 server.serve,
-                ssl=security.callers_context(checked.security),
+                security.callers_context(checked.security),
             ),
         )
         await group.spawn(
-            curio.tcp_server(
+            listening.serve(
                 *settings.split_address(checked.listen.peers),
                 peer_server.serve,
-                ssl=security.peers_context(checked.security),
+                security.peers_context(checked.security),
             ),
         )
         await group.spawn(_follower(entry).run)
--- a/packages/fleet/src/camphorstair_fleet/metrics_page.py
+++ b/packages/fleet/src/camphorstair_fleet/metrics_page.py
@@ -2,9 +2,7 @@
 
 import http
 
-import curio
-
-from camphorstair_runtime import http_messages, http_server, metrics
+from camphorstair_runtime import http_messages, http_server, listening, metrics
 
 # The port that exporters for Prometheus use by custom.
 PORT = 9464
@@ -32,4 +30,4 @@
 async def serve(host: str, port: int = PORT) -> None:
     """Serve the metrics until cancelled."""
     server = http_server.Server(handle)
-    await curio.tcp_server(host, port, server.serve)
+    await listening.serve(host, port, server.serve)
--- a/packages/standins/src/camphorstair_standins/key_value_bench.py
+++ b/packages/standins/src/camphorstair_standins/key_value_bench.py
@@ -6,7 +6,7 @@
 import attrs
 import curio
 
-from camphorstair_runtime import http_server, platform, settings
+from camphorstair_runtime import http_server, listening, platform, settings
 from camphorstair_standins import key_value, key_value_store, loopback
 
 Body = abc.Callable[[platform.PlatformClient], abc.Awaitable[typing.Any]]
@@ -46,7 +46,7 @@
         async with curio.TaskGroup(wait=any) as group:
             for address in addresses:
                 host, port = settings.split_address(address)
-                await group.spawn(curio.tcp_server, host, port, server.serve)
+                await group.spawn(listening.serve, host, port, server.serve)
             await curio.sleep(0)
             outcome = await body(platform.PlatformClient(addresses))
             await group.cancel_remaining()
--- a/packages/standins/src/camphorstair_standins/serving.py
+++ b/packages/standins/src/camphorstair_standins/serving.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from camphorstair_runtime import http_server, settings, signals
+from camphorstair_runtime import http_server, listening, settings, signals
 
 
 async def _run(address: str, handler: http_server.ResponderHandler) -> None:
@@ -10,7 +10,7 @@
     server = http_server.Server(handler)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
-            curio.tcp_server,
+            listening.serve,
             *settings.split_address(address),
             server.serve,
         )
--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -14,6 +14,7 @@
     http_client,
     http_messages,
     http_server,
+    listening,
     settings,
 )
 from camphorstair_standins import loopback, platform_runner, platform_store
@@ -223,7 +224,7 @@
         """Serve a stand-in on an address."""
         server = http_server.Server(handler)
         host, port = settings.split_address(address)
-        await self._group.spawn(curio.tcp_server, host, port, server.serve)
+        await self._group.spawn(listening.serve, host, port, server.serve)
         await curio.sleep(0.01)
 
     async def _run(self, body: Body) -> None:
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -13,6 +13,7 @@
     http_client,
     http_messages,
     http_server,
+    listening,
     settings,
 )
 from camphorstair_standins import loopback
@@ -48,7 +49,7 @@
         for address, handler in ((engine, _engine), (agent, service.handle)):
             host, port = settings.split_address(address)
             server = http_server.Server(handler)
-            await group.spawn(curio.tcp_server, host, port, server.serve)
+            await group.spawn(listening.serve, host, port, server.serve)
         await curio.sleep(0.02)
         await body(agent)
         await group.cancel_remaining()
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -17,6 +17,7 @@
     http_client,
     http_messages,
     http_server,
+    listening,
     settings,
 )
 from camphorstair_standins import loopback, platform_store
@@ -63,7 +64,7 @@
         ):
             host, port = settings.split_address(address)
             server = http_server.Server(handler)
-            await group.spawn(curio.tcp_server, host, port, server.serve)
+            await group.spawn(listening.serve, host, port, server.serve)
         process = _start(path)
         try:
             await _run_body(boot.decode(content), process, body)
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -15,6 +15,7 @@
     configuration_store,
     configuration_values,
     following,
+    listening,
     node,
     peers,
     platform,
@@ -207,7 +208,7 @@
     address = loopback.free_address()
     server = peers.PeerServer(state)
     task = await curio.spawn(
-        curio.tcp_server,
+        listening.serve,
         *settings.split_address(address),
         server.serve,
     )
