One kept connection for the store's client and the engine's

The store's client and the agent's calls to its engine each kept a connection with the same lines (lock, limit, close after a fault). runtime.kept_connection does it for both.

--- a/packages/agent/src/camphorstair_agent/fleet/engine_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/engine_calls.py
@@ -1,9 +1,8 @@
 """Calls to the model engine on the same VM."""
 
 import attrs
-import curio
 
-from camphorstair_runtime import http_client, http_messages
+from camphorstair_runtime import http_messages, kept_connection
 
 # An engine on the same VM answers within milliseconds or not at all; the
 # planner waits longer for this agent than the agent for its engine.
@@ -18,8 +17,11 @@
     """
 
     address: str
-    _lock: curio.Lock = attrs.field(factory=curio.Lock)
-    _exchange: http_client.Exchange | None = None
+    _connection: kept_connection.KeptConnection = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the connection."""
+        self._connection = kept_connection.KeptConnection(self.address)
 
     async def call(
         self,
@@ -30,39 +32,4 @@
         :raises http_client.HttpError: if there is none in time; the request
             may be carried out all the same.
         """
-        async with self._lock:
-            try:
-                async with curio.timeout_after(CALL_LIMIT_S):
-                    return await self._call(request)
-            except curio.TaskTimeout as error:
-                await self._close()
-                message = f'{request.target}: no answer in {CALL_LIMIT_S} s'
-                raise http_client.HttpError(message, sent=True) from error
-            except (http_client.HttpError, curio.CancelledError):
-                await self._close()
-                raise
-
-    async def _call(
-        self,
-        request: http_messages.Request,
-    ) -> http_messages.Response:
-        if self._exchange is None:
-            self._exchange = await http_client.open_exchange(
-                self.address, request
-            )
-        else:
-            await http_client.next_exchange(
-                self._exchange, self.address, request
-            )
-        exchange = self._exchange
-        body = await exchange.read_all()
-        answer = http_messages.Response(exchange.status, exchange.headers, body)
-        if not exchange.reusable():
-            await self._close()
-        return answer
-
-    async def _close(self) -> None:
-        exchange = self._exchange
-        self._exchange = None
-        if exchange is not None:
-            await exchange.close()
+        return await self._connection.fetch(request, CALL_LIMIT_S)
