Take changes that come together by one watch

Change: after an answer with changes the next watch is sent 0.05 s later.

Tests: tests/test_mirroring.py, fails before.

--- /dev/null
+++ b/measures/log_cost.py
@@ -0,0 +1,56 @@
+"""Processor time of a process's log lines."""
+
+import logging
+import os
+import time
+
+from camphorstair_runtime import bounded_logs, logs
+from measures import reports
+
+LINES = 3000
+LOGGER = 'camphorstair.fleet.forwarding'
+
+
+def measure(seed: int) -> reports.Report:
+    """Measure a line that is written, one that is left out, and both at rate."""
+    written_us = _line_us(LINES, float('inf'))
+    left_out_us = _line_us(LINES, 0)
+    share = bounded_logs.LINES_PER_S * written_us / 1e6
+    figures = {
+        'written_us': written_us,
+        'left_out_us': left_out_us,
+        'core_share_at_most': share,
+    }
+    return reports.Report('log_cost', seed, figures)
+
+
+def _line_us(lines: int, allowed: float) -> float:
+    """Return the time of a line.
+
+    :param allowed: Lines that the handler may write.
+    """
+    with open(os.devnull, 'wb') as sink:
+        handler = bounded_logs.BoundedHandler(sink.fileno(), lambda: 0)
+        handler.setFormatter(logs.JsonFormatter('front-1'))
+        handler.allow(allowed)
+        began_s = time.process_time()
+        for number in range(lines):
+            handler.handle(_record(number))
+        return (time.process_time() - began_s) / lines * 1e6
+
+
+def _record(number: int) -> logging.LogRecord:
+    record = logging.LogRecord(
+        LOGGER, logging.INFO, __file__, 0, 'answered', None, None
+    )
+    record.__dict__.update(
+        request=f'{number:016x}',
+        route='draft',
+        version=3,
+        endpoint='i-7c2f0efd5a',
+        attempts=1,
+        queued_s=0.0,
+        first_part_s=0.142,
+        whole_s=1.183,
+    )
+    return record
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -15,6 +15,8 @@
 # A store that is about to lose its history may keep changes from the watches
 # for this long.
 MUTE_S = 1.0
+# Changes often come together, and each answer of a watch is a call.
+SETTLE_S = 0.05
 # After an outage the state of the store is asked for without a wait.
 SHORT_WAIT_S = 0.001
 RETRY_INTERVAL_S = 0.25
@@ -37,6 +39,7 @@
     :ivar apply: Takes over a change; raises ``FormatError`` if it can't.
     :ivar changed: Called after each round.
     :ivar listed: Whether all was read at least once.
+    :ivar unsettled: Whether the last answer brought changes.
     :ivar revisions: Last revision that was taken over, by key.
     """
 
@@ -46,12 +49,15 @@
     apply: Apply
     changed: Changed
     listed: bool = False
+    unsettled: bool = False
     revisions: dict[str, int] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Follow for ever; what is known stays in use during outages."""
         revision: int | None = None
         while True:
+            if self.unsettled:
+                await curio.sleep(SETTLE_S)
             sent_s = clocks.suspended_s()
             try:
                 revision = await self._follow_once(revision)
@@ -86,6 +92,7 @@
         changes = await self.client.watch(ALL_KEYS, revision, wait_s)
         for item in changes.rows:
             self._take(item)
+        self.unsettled = bool(changes.rows)
         if not changes.rows and clocks.suspended_s() - sent_s >= wait_s:
             # Nothing had changed when the store had waited.
             sent_s += max(0, wait_s - MUTE_S)
--- a/tests/test_mirroring.py
+++ b/tests/test_mirroring.py
@@ -85,3 +85,22 @@
     fake = FakeStore(rows, answers_after_s)
     monkeypatch.setattr(clocks, 'suspended_s', lambda: fake.now_s)
     assert curio.run(_age_after, fake) == pytest.approx(age_s)
+
+
+@pytest.mark.parametrize(
+    ('rows', 'sleeps_s'), [((), []), ((CHANGE,), [mirroring.SETTLE_S])]
+)
+def test_changes_that_come_together_are_taken_by_one_call(
+    monkeypatch: pytest.MonkeyPatch,
+    rows: tuple[store.Item, ...],
+    sleeps_s: list[float],
+) -> None:
+    slept_s: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        slept_s.append(seconds)
+        await curio.Event().wait()
+
+    monkeypatch.setattr(curio, 'sleep', sleep)
+    curio.run(_age_after, FakeStore(rows, 0.1))
+    assert slept_s == sleeps_s
