Give each entry places of its own, and serve callers that came back after others

Load: more requests than the engines can start in time. Played by the new measure fleet_overload (6 entries, 12 engines with 6 places, reports every 0.1 s).

Cause, second: callers that came back after a refusal were late already and took places from those that could still be timely.

Change: an endpoint's places are shared among the entries, turned by one from endpoint to endpoint; an entry fills its own and uses others' only while three or more are free; nothing waits at an engine any more. A caller that gives less time than the route allows and others give has come back: its request counts as late.

--- a/measures/fleet_overload.py
+++ b/measures/fleet_overload.py
@@ -22,7 +22,6 @@
 ENTRIES = 6
 ENGINES = 12
 SLOTS = 6
-BACKLOG = 1
 SERVICE_S = 1.2
 FIRST_PART_S = 0.12
 TARGET_S = 0.4
@@ -87,11 +86,13 @@
 
     :ivar candidates: The engines as it knows them.
     :ivar queue: What waits at it.
+    :ivar patience: How long callers wait.
     :ivar requests: The requests by their place in the queue.
     """
 
     candidates: list[placement.Candidate]
     queue: waiting.Queue = attrs.field(factory=waiting.Queue)
+    patience: waiting.CallerLimits = attrs.field(factory=waiting.CallerLimits)
     requests: dict[waiting.Waiter, Request] = attrs.field(factory=dict)
 
 
@@ -126,7 +127,14 @@
             self._send(request, loads.index(least), least)
             return
         waiter = waiting.Waiter('', ROUTE.priority, self.now_s)
-        waiting.set_deadlines(waiter, ROUTE, self.now_s, self.now_s + TIMEOUT_S)
+        limit_s = request.arrived_s + TIMEOUT_S - self.now_s
+        waiting.set_deadlines(
+            waiter,
+            ROUTE,
+            self.now_s,
+            self.now_s + limit_s,
+            entry.patience.elapsed_s(ROUTE, limit_s),
+        )
         entry.queue.waiters.append(waiter)
         entry.requests[waiter] = request
 
@@ -148,21 +156,28 @@
             self.arrive(request)
 
     def _work(self, engine: Engine) -> None:
-        for request, load in list(engine.running):
-            if request.ends_s <= self.now_s:
-                engine.running.remove((request, load))
-                load.running -= 1
-                self.whole += 1
+        ended = [one for one in engine.running if one[0].ends_s <= self.now_s]
+        for done in ended:
+            engine.running.remove(done)
+            done[1].running -= 1
+            self.whole += 1
         while engine.queue and len(engine.running) < SLOTS:
-            request, load = engine.queue.pop(0)
-            begins_s = self.now_s + FIRST_PART_S
-            if begins_s > request.leaves_s:
-                load.running -= 1
-                continue
-            spread = self.generator.uniform(0.8, 1.2)
-            request.ends_s = self.now_s + SERVICE_S * spread
-            self.timely += begins_s <= request.arrived_s + TARGET_S
-            engine.running.append((request, load))
+            self._start(engine, *engine.queue.pop(0))
+
+    def _start(
+        self,
+        engine: Engine,
+        request: Request,
+        load: placement.Load,
+    ) -> None:
+        begins_s = self.now_s + FIRST_PART_S
+        if begins_s > request.leaves_s:
+            load.running -= 1
+            return
+        spread = self.generator.uniform(0.8, 1.2)
+        request.ends_s = self.now_s + SERVICE_S * spread
+        self.timely += begins_s <= request.arrived_s + TARGET_S
+        engine.running.append((request, load))
 
     def _report(self) -> None:
         self.reported_s = self.now_s
@@ -182,7 +197,7 @@
             free = [
                 one
                 for one in entry.candidates
-                if placement.free_slots(one, SLOTS + BACKLOG, self.now_s) >= 1
+                if placement.has_place(one, self.now_s)
             ]
             chosen = placement.choose(
                 free, DATA_CENTRE, self.now_s, self.generator
@@ -247,13 +262,13 @@
     return Fleet(
         random.Random(seed),
         waits,
-        [Entry(_candidates()) for _ in range(ENTRIES)],
+        [Entry(_candidates(place)) for place in range(ENTRIES)],
         [Engine() for _ in range(ENGINES)],
     )
 
 
-def _candidates() -> list[placement.Candidate]:
-    return [
+def _candidates(place: int) -> list[placement.Candidate]:
+    found = [
         placement.Candidate(
             roster.Endpoint(_registration(number)),
             placement.Load(),
@@ -261,11 +276,13 @@
         )
         for number in range(ENGINES)
     ]
+    placement.share_places(found, place, ENTRIES)
+    return found
 
 
 def _registration(number: int) -> roster.Registration:
     return roster.Registration(
-        endpoint=f'i-{number}',
+        endpoint=f'i-{number:02}',
         service=SERVICE,
         address=f'10.0.0.{number}:80',
         data_centre=DATA_CENTRE,
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -1,5 +1,11 @@
 """Chooses the endpoint of a request by the time until its first token.
 
+Written for the load in which all places are taken: a place that becomes free
+shows to every entry at once, and if all of them fill it, their requests wait
+one behind the other at the endpoint. So each entry has places of its own at
+each endpoint, which it fills again when its own requests end, and uses those of
+others only while several are free.
+
 What this entry has sent is known at once; what others have sent shows in the
 endpoint's last report. An endpoint's work is estimated as what it reported,
 plus what was sent since, less what ended since.
@@ -19,6 +25,8 @@
 # One this much slower makes the pauses of all streams too long.
 STALLING_FACTOR = 2.5
 LARGEST_SLOW_SHARE = 0.5
+# With this many free places an entry need not ask whose they are.
+PLENTY = 3
 
 
 @attrs.define(eq=False)
@@ -50,11 +58,13 @@
     :ivar endpoint: The endpoint.
     :ivar load: Its work.
     :ivar health: How its last answers went.
+    :ivar own_places: How many of its places belong to this entry.
     """
 
     endpoint: roster.Endpoint
     load: Load
     health: ejection.Health
+    own_places: int = 0
 
 
 def note_report(load: Load, running: int, waiting: int, now_s: float) -> None:
@@ -82,12 +92,44 @@
     return load.running
 
 
-def free_slots(candidate: Candidate, allowed: int, now_s: float) -> float:
-    """Return how many more requests an endpoint may get.
+def share_places(
+    candidates: list[Candidate],
+    place: int,
+    entries: int,
+) -> None:
+    """Set which places belong to an entry.
+
+    :param candidates: All endpoints of a service.
+    :param place: The entry's place among the entries.
+    :param entries: Number of entries.
+    """
+    candidates.sort(key=_name)
+    for turn, one in enumerate(candidates, place):
+        slots = one.endpoint.registration.slots
+        one.own_places = own_places(slots, turn, entries)
+
+
+def own_places(slots: int, turn: int, entries: int) -> int:
+    """Return how many places of an endpoint belong to one entry.
+
+    The shares of all entries add up to the places, and those of an entry at
+    successive endpoints differ by one at most.
 
-    :param allowed: Most requests that may be at it.
+    :param slots: Places of the endpoint.
+    :param turn: The sum of the entry's place among the entries and the
+        endpoint's place among those of the service.
+    :param entries: Number of entries.
     """
-    return allowed - estimated_work(candidate.load, now_s)
+    turn %= entries
+    return slots * (turn + 1) // entries - slots * turn // entries
+
+
+def has_place(candidate: Candidate, now_s: float) -> bool:
+    """Tell whether an entry may send an endpoint one more request."""
+    load = candidate.load
+    slots = candidate.endpoint.registration.slots
+    free = slots - estimated_work(load, now_s)
+    return free >= PLENTY or (free >= 1 and load.running < candidate.own_places)
 
 
 def slow_ranks(
@@ -150,3 +192,7 @@
     if ejection.is_ejected(candidate.health, now_s):
         cost += EJECTED_PENALTY
     return cost
+
+
+def _name(candidate: Candidate) -> str:
+    return candidate.endpoint.registration.endpoint
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -53,6 +53,27 @@
     in_progress: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.define
+class CallerLimits:
+    """How long callers wait, which tells whether a request came back.
+
+    A caller that comes back after a refusal has less time left than others.
+
+    :ivar longest_s: The longest time that callers of a route gave.
+    """
+
+    longest_s: dict[str, float] = attrs.field(factory=dict)
+
+    def elapsed_s(self, route: catalogue.Route, limit_s: float) -> float:
+        """Return how long ago a caller first sent a request.
+
+        :param limit_s: The time that it gives now.
+        """
+        longest_s = max(limit_s, self.longest_s.get(route.name, 0))
+        self.longest_s[route.name] = longest_s
+        return max(0, min(route.timeout_s, longest_s) - limit_s)
+
+
 def patience_s(route: catalogue.Route) -> float:
     """Return how long a caller waits for the first part of an answer."""
     if route.kind is not catalogue.RequestKind.streaming:
@@ -69,6 +90,7 @@
     route: catalogue.Route,
     now_s: float,
     deadline_s: float,
+    elapsed_s: float = 0,
 ) -> None:
     """Set how long a request may wait for its next attempt.
 
@@ -76,10 +98,11 @@
 
     :param now_s: The time of its arrival, or of the end of an attempt.
     :param deadline_s: When its final answer is due.
+    :param elapsed_s: How long ago the caller first sent it, if it came back.
     """
     limit_s = min(deadline_s - now_s, patience_s(route))
     answer_s = min(route.target_s, limit_s * LAST_PART_SHARE)
-    waiter.timely_until_s = now_s + route.target_s / 2
+    waiter.timely_until_s = now_s + route.target_s / 2 - elapsed_s
     waiter.useful_until_s = now_s + limit_s - answer_s
 
 
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -17,8 +17,6 @@
 )
 from camphorstair_runtime import clocks
 
-# Requests that may wait at an engine, so that it starts one without a pause.
-ENGINE_BACKLOG = 1
 RETRY_AFTER_S = 0.5
 # A rank group that broke is open again some seconds later; callers wait for a
 # third of their time at most.
@@ -191,10 +189,13 @@
         return [one for one in sound if one not in slow]
 
     def _registered(self, service: str) -> list[placement.Candidate]:
-        return [
-            self.entry.candidate(one)
-            for one in roster.usable(self.entry.endpoints, service)
+        entry = self.entry
+        found = [
+            entry.candidate(one)
+            for one in roster.usable(entry.endpoints, service)
         ]
+        placement.share_places(found, entry.place(), entry.entries())
+        return found
 
     def _choose(
         self,
@@ -222,10 +223,7 @@
         candidate: placement.Candidate,
         now_s: float,
     ) -> bool:
-        allowed = candidate.endpoint.registration.slots
-        if self._is_engine(service):
-            allowed += ENGINE_BACKLOG
-        if placement.free_slots(candidate, allowed, now_s) < 1:
+        if not placement.has_place(candidate, now_s):
             return False
         if now_s >= candidate.endpoint.cold_deadline_s:
             return True
@@ -250,11 +248,6 @@
             self.entry.entry_count.bound(),
         )
 
-    def _is_engine(self, service: str) -> bool:
-        known = self.entry.configuration
-        found = known.services.get(service) if known else None
-        return found is not None and found.engine is not None
-
 
 def _is_closed(candidate: placement.Candidate, now_s: float) -> bool:
     return roster.closed(candidate.endpoint) or (
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -88,8 +88,16 @@
         given = headers.decode_caller(request)
         organisation = self._organisation(known, route, given)
         now_s = clocks.monotonic_s()
-        limit_s = min(route.timeout_s, given.limit_s or DEFAULT_LIMIT_S)
-        waiter = _waiter(route, organisation, now_s, now_s + limit_s)
+        given_s = given.limit_s or DEFAULT_LIMIT_S
+        limit_s = min(route.timeout_s, given_s)
+        waiter = _waiter(route, organisation, now_s)
+        waiting.set_deadlines(
+            waiter,
+            route,
+            now_s,
+            now_s + limit_s,
+            self.entry.patience.elapsed_s(route, given_s),
+        )
         return calls.Call(
             request=request,
             given=given,
@@ -194,16 +202,12 @@
     route: catalogue.Route,
     organisation: catalogue.Organisation | None,
     now_s: float,
-    deadline_s: float,
 ) -> waiting.Waiter:
     priority = route.priority
     if organisation and organisation.priority is not None:
         priority = organisation.priority
-    waiter = waiting.Waiter(
-        organisation.name if organisation else '', priority, now_s
-    )
-    waiting.set_deadlines(waiter, route, now_s, deadline_s)
-    return waiter
+    name = organisation.name if organisation else ''
+    return waiting.Waiter(name, priority, now_s)
 
 
 async def _outcome(work: forwarding.Forwarding) -> Exception | None:
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -44,6 +44,7 @@
     :ivar candidates: Work and health by endpoint.
     :ivar cold_sends: Requests sent lately, by cold endpoint.
     :ivar queues: Waiting requests by service.
+    :ivar patience: How long callers wait, by route.
     :ivar budgets: Repeats by service.
     :ivar moves: Functions that move the requests at an endpoint to another
         one, by endpoint.
@@ -63,6 +64,7 @@
     candidates: dict[str, placement.Candidate] = attrs.field(factory=dict)
     cold_sends: dict[str, windows.SlidingWindow] = attrs.field(factory=dict)
     queues: dict[str, waiting.Queue] = attrs.field(factory=dict)
+    patience: waiting.CallerLimits = attrs.field(factory=waiting.CallerLimits)
     budgets: dict[str, windows.RetryBudget] = attrs.field(factory=dict)
     moves: dict[str, list[Move]] = attrs.field(factory=dict)
     kept: connections.Connections = attrs.field(
@@ -103,6 +105,16 @@
             f'{settings.address}:{settings.internal_port}',
         )
 
+    def place(self) -> int:
+        """Return the place of this entry among the entries."""
+        name = self.settings.name
+        return sum(other < name for other in self.members.present)
+
+    def entries(self) -> int:
+        """Return how many entries serve, this one among them."""
+        present = self.members.present
+        return len(present) + (self.settings.name not in present)
+
     def candidate(self, endpoint: roster.Endpoint) -> placement.Candidate:
         """Return the work and health of an endpoint; a restarted one is new."""
         name = endpoint.registration.endpoint
