Let every entry use some place, also where there are fewer places than entries

Cause, found by reading: an endpoint with one or two places never has three free, and with fewer places than entries some entries own none; they would have sent nothing.

Change: all places free is plenty whatever their number, and an entry that owns none anywhere may use all.

Tests: tests/test_fleet_overload.py, fails before.

--- a/measures/fleet_overload.py
+++ b/measures/fleet_overload.py
@@ -92,7 +92,7 @@
 
     candidates: list[placement.Candidate]
     queue: waiting.Queue = attrs.field(factory=waiting.Queue)
-    patience: waiting.CallerLimits = attrs.field(factory=waiting.CallerLimits)
+    patience: waiting.CallerTimes = attrs.field(factory=waiting.CallerTimes)
     requests: dict[waiting.Waiter, Request] = attrs.field(factory=dict)
 
 
@@ -270,7 +270,7 @@
 def _candidates(place: int) -> list[placement.Candidate]:
     found = [
         placement.Candidate(
-            roster.Endpoint(_registration(number)),
+            roster.Endpoint(registration(number)),
             placement.Load(),
             ejection.Health(),
         )
@@ -280,7 +280,8 @@
     return found
 
 
-def _registration(number: int) -> roster.Registration:
+def registration(number: int) -> roster.Registration:
+    """Return the registration of an engine."""
     return roster.Registration(
         endpoint=f'i-{number:02}',
         service=SERVICE,
--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -1,10 +1,10 @@
 """Plans expert maps of engines that share an expert's tokens evenly.
 
 A pass lasts, set by set, as long as the most loaded rank's part, where a slow
-rank's part counts for its pace. A set's planner makes one change after another, always the one that lowers the load of
-the busiest ranks most: a further replica of an expert, or an exchange of two
-experts between ranks. A new expert has to be copied to its rank, so a plan
-adds only a few to each.
+rank's part counts for its pace. A set's planner makes one change after another,
+always the one that lowers the times of the busiest ranks most: a further replica
+of an expert, or an exchange of two experts between ranks. A new expert has to be
+copied to its rank, so a plan adds only a few to each.
 """
 
 import collections as containers
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -99,14 +99,19 @@
 ) -> None:
     """Set which places belong to an entry.
 
+    Where there are fewer places than entries, those without any may use all.
+
     :param candidates: All endpoints of a service.
     :param place: The entry's place among the entries.
     :param entries: Number of entries.
     """
     candidates.sort(key=_name)
-    for turn, one in enumerate(candidates, place):
-        slots = one.endpoint.registration.slots
-        one.own_places = own_places(slots, turn, entries)
+    for turn, candidate in enumerate(candidates, place):
+        slots = candidate.endpoint.registration.slots
+        candidate.own_places = own_places(slots, turn, entries)
+    if not any(one.own_places for one in candidates):
+        for shared in candidates:
+            shared.own_places = shared.endpoint.registration.slots
 
 
 def own_places(slots: int, turn: int, entries: int) -> int:
@@ -129,7 +134,9 @@
     load = candidate.load
     slots = candidate.endpoint.registration.slots
     free = slots - estimated_work(load, now_s)
-    return free >= PLENTY or (free >= 1 and load.running < candidate.own_places)
+    if free >= min(PLENTY, slots):
+        return True
+    return free >= 1 and load.running < candidate.own_places
 
 
 def slow_ranks(
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -54,7 +54,7 @@
 
 
 @attrs.define
-class CallerLimits:
+class CallerTimes:
     """How long callers wait, which tells whether a request came back.
 
     A caller that comes back after a refusal has less time left than others.
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -64,7 +64,7 @@
     candidates: dict[str, placement.Candidate] = attrs.field(factory=dict)
     cold_sends: dict[str, windows.SlidingWindow] = attrs.field(factory=dict)
     queues: dict[str, waiting.Queue] = attrs.field(factory=dict)
-    patience: waiting.CallerLimits = attrs.field(factory=waiting.CallerLimits)
+    patience: waiting.CallerTimes = attrs.field(factory=waiting.CallerTimes)
     budgets: dict[str, windows.RetryBudget] = attrs.field(factory=dict)
     moves: dict[str, list[Move]] = attrs.field(factory=dict)
     kept: connections.Connections = attrs.field(
--- a/tests/test_fleet_overload.py
+++ b/tests/test_fleet_overload.py
@@ -1,10 +1,11 @@
 """What callers get when more comes than the engines bear."""
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphorstair_core.fleet import placement, waiting
+from camphorstair_core.fleet import ejection, placement, roster, waiting
 from measures import fleet_overload
 
 
@@ -29,6 +30,30 @@
     assert max(shares) - min(shares) <= 1
 
 
+@pytest.mark.parametrize(
+    ('slots', 'endpoints', 'entries'), [(1, 3, 6), (1, 1, 9), (2, 3, 9)]
+)
+def test_no_entry_is_without_a_place(
+    slots: int,
+    endpoints: int,
+    entries: int,
+) -> None:
+    for place in range(entries):
+        candidates = [_candidate(number, slots) for number in range(endpoints)]
+        placement.share_places(candidates, place, entries)
+        assert any(placement.has_place(one, 1) for one in candidates)
+        assert any(one.own_places for one in candidates)
+
+
+def _candidate(number: int, slots: int) -> placement.Candidate:
+    registration = attrs.evolve(
+        fleet_overload.registration(number), slots=slots
+    )
+    return placement.Candidate(
+        roster.Endpoint(registration), placement.Load(), ejection.Health()
+    )
+
+
 @pytest.mark.parametrize(
     ('limits_s', 'elapsed_s'),
     [((8.05, 8.05), 0), ((8.05, 5.5), 2.5), ((5.5,), 0), ((400, 7), 1)],
@@ -37,7 +62,7 @@
     limits_s: tuple[float, ...],
     elapsed_s: float,
 ) -> None:
-    callers = waiting.CallerLimits()
+    callers = waiting.CallerTimes()
     found = [
         callers.elapsed_s(fleet_overload.ROUTE, limit_s) for limit_s in limits_s
     ]
