--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,97 @@
+"""Callers that keep their connections open for many requests."""
+
+import http
+import random
+from collections import abc
+
+import attrs
+import curio
+
+from camphorstair_runtime import http_client, http_messages
+from soak import witness
+
+HOST = 'soak.example'
+ROUTES = ('draft', 'book', 'look')
+LIMIT_S = 4.0
+PAUSE_S = 0.05
+# Callers that were refused don't come back at once.
+REFUSED_PAUSE_S = 0.3
+REQUESTS_AN_ENTRY = 6
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A caller.
+
+    :ivar name: Begins the identifiers of its requests.
+    :ivar key: Its key.
+    :ivar entries: ``IP:port`` of the entries.
+    :ivar seen: What is seen.
+    :ivar elapsed_s: Returns the time from the start of the soak.
+    :ivar calls: Requests so far.
+    """
+
+    name: str
+    key: str
+    entries: list[str]
+    generator: random.Random
+    seen: witness.Witness
+    elapsed_s: abc.Callable[[], float]
+    calls: int = 0
+
+    async def run(self) -> None:
+        """Call for ever."""
+        while True:
+            entry = self.generator.randrange(len(self.entries))
+            await self._call_often(entry)
+            await curio.sleep(PAUSE_S)
+
+    async def _call_often(self, entry: int) -> None:
+        """Send some requests on one connection, as long as it stands."""
+        try:
+            exchange = await http_client.connect(self.entries[entry])
+        except http_client.HttpError:
+            return
+        try:
+            for _ in range(REQUESTS_AN_ENTRY):
+                await self._call(exchange, entry)
+                if not exchange.reusable():
+                    return
+                exchange.protocol.start_next_cycle()
+        finally:
+            await exchange.close()
+
+    async def _call(self, exchange: http_client.Exchange, entry: int) -> None:
+        self.calls += 1
+        call = witness.Call(
+            f'{self.name}-{self.calls}',
+            self.generator.choice(ROUTES),
+            self.key,
+            entry,
+            self.elapsed_s(),
+        )
+        self.seen.calls.append(call)
+        try:
+            async with curio.timeout_after(LIMIT_S):
+                await self._exchange(exchange, call)
+        except (curio.TaskTimeout, http_client.HttpError, OSError):
+            await exchange.close()
+        call.ended_s = self.elapsed_s()
+        if call.status != http.HTTPStatus.OK:
+            await curio.sleep(REFUSED_PAUSE_S)
+
+    async def _exchange(
+        self,
+        exchange: http_client.Exchange,
+        call: witness.Call,
+    ) -> None:
+        headers = [
+            ('x-camphorstair-attempt-id', call.attempt),
+            ('x-camphorstair-deadline-ms', str(round(LIMIT_S * 1000))),
+            ('authorization', f'Token {self.key}'),
+        ]
+        request = http_messages.Request('POST', f'/{call.route}/', headers, b'')
+        await http_client.send(exchange, HOST, request)
+        await http_client.read_head(exchange, request)
+        call.body = await exchange.read_all()
+        call.status = exchange.status
--- /dev/null
+++ b/soak/endpoints.py
@@ -0,0 +1,59 @@
+"""The endpoints of a soak: they run requests and say so to the witness."""
+
+import http
+import time
+from collections import abc
+
+import attrs
+import curio
+
+from camphorstair_runtime import http_messages, http_server
+from soak import witness
+
+EVENT_GAP_S = 0.03
+WORK_S = 0.05
+_ATTEMPT = 'x-camphorstair-attempt-id'
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """An endpoint.
+
+    :ivar name: Its identifier.
+    :ivar seen: What is seen.
+    :ivar elapsed_s: Returns the time from the start of the soak.
+    """
+
+    name: str
+    seen: witness.Witness
+    elapsed_s: abc.Callable[[], float] = time.monotonic
+
+    async def handle(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Run one request until its caller leaves."""
+        attempt = request.header(_ATTEMPT)
+        headers = [(_ATTEMPT, attempt), ('x-camphorstair-server-seal', 's')]
+        expected = request.header('x-camphorstair-expect-instance')
+        if expected != self.name:
+            status = http.HTTPStatus.MISDIRECTED_REQUEST
+            answer = http_messages.Response(status, headers[:1], b'')
+            await responder.respond(answer)
+            return
+        self.seen.runs.append(witness.Run(attempt, self.name, self.elapsed_s()))
+        if not request.path.startswith('/draft/'):
+            await curio.sleep(WORK_S)
+            await responder.respond(
+                http_messages.Response(
+                    http.HTTPStatus.OK, headers, attempt.encode()
+                )
+            )
+            return
+        first = int(request.header('last-event-id') or 0) + 1
+        await responder.start(http.HTTPStatus.OK, headers)
+        for event in witness.events(attempt, first):
+            await responder.send(event)
+            await curio.sleep(EVENT_GAP_S)
+        await responder.finish()
