Relieve every busy rank, not only one that stands out

A change had to take 0.6 off the sum of all ranks' powers; where two ranks are as busy, a change that relieves one of them takes off a half, and none was made.

Change: the gain counts against the busiest rank's power alone. So that no more is copied than is noticed, nothing is changed in a set whose slowest rank takes up to 1.7 times the mean.

--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -17,9 +17,11 @@
 _POWER = 8
 _EXPERTS_TRIED = 4
 _RANKS_TRIED = 5
-# Least share by which a change lowers the sum of the powers; 0.6 takes a tenth
-# off the time of the slowest rank.
+# Least gain of a change, as a share of the busiest rank's power: 0.6 takes a tenth
+# off that rank's time.
 _LEAST_GAIN = 0.6
+# Time of the slowest rank, over the mean, that is not worth a copy.
+_EVEN_ENOUGH = 1.7
 # A slow rank gives its experts away one by one, and each gains less.
 _LEAST_GAIN_BESIDE_SLOW = 0.3
 _SLOW_FACTOR = 1.4
@@ -64,7 +66,7 @@
         return len(self.held[rank] - self.original[rank])
 
     def least_gain(self) -> float:
-        """Return by which share a change has to lower the sum of the powers."""
+        """Return the least gain, as a share of the busiest rank's power."""
         if max(self.paces) > _SLOW_FACTOR * min(self.paces):
             return _LEAST_GAIN_BESIDE_SLOW
         return _LEAST_GAIN
@@ -154,8 +156,11 @@
 
 
 def _best_change(draft: _Draft, limits: SetLimits) -> _Change | None:
+    if max(draft.by_rank) <= _EVEN_ENOUGH:
+        return None
     now = sum(load**_POWER for load in draft.by_rank)
-    least = now * (1 - draft.least_gain())
+    # Where several ranks are as busy, a change helps one of them only.
+    least = now - draft.least_gain() * max(draft.by_rank) ** _POWER
     best = None
     for change in _changes(draft, limits):
         value = _value_after(draft, change)
