--- a/tests/test_even_maps.py
+++ b/tests/test_even_maps.py
@@ -51,7 +51,7 @@
 def test_several_ranks_that_are_as_busy_are_all_relieved(busy: int) -> None:
     """A shift makes an expert popular at each of some ranks."""
     held = even_maps.initial(EXPERTS, RANKS)
-    loads = [20.0 if expert < busy else 1.0 for expert in range(EXPERTS)]
+    loads = [40.0 if expert < busy else 1.0 for expert in range(EXPERTS)]
     before = even_maps.skew(held, loads)
     for _ in range(PLANS_AFTER_A_SHIFT):
         held = even_maps.plan_set(held, loads, LIMITS)
