Start the fleet's programs by the launcher that the project has

And the fleet's programs were started as plain modules beside runtime.launcher, which the stand-alone programs use.

Without a settings file it ignores SIGHUP first: nothing was read yet that had to be read again. The interpreter's own start, some 0.03 s, is left.

--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -71,7 +71,3 @@
     bounded_logs.set_up(told.name, 'INFO')
     curio.run(run, told)
     signals.ignore()
-
-
-if __name__ == '__main__':
-    main()
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -195,7 +195,3 @@
     bounded_logs.set_up(told.name, 'INFO')
     curio.run(run, build(told, metrics.start(told.name)))
     signals.ignore()
-
-
-if __name__ == '__main__':
-    main()
--- a/packages/runtime/src/camphorstair_runtime/launcher.py
+++ b/packages/runtime/src/camphorstair_runtime/launcher.py
@@ -1,10 +1,15 @@
 """Starts a serving module without libraries that it does not use.
 
-``python -OO -m camphorstair_runtime.launcher MODULE FILE``
+``python -OO -m camphorstair_runtime.launcher MODULE [FILE]``
+
+Without a file the module reads the platform's settings, and again at SIGHUP.
+Until it handles that signal there is nothing to read again, and the default
+action would end the process.
 """
 
 import importlib
 import os
+import signal
 import sys
 import types
 import typing
@@ -35,9 +40,11 @@
 
 def main() -> None:
     """Run the module that the command names."""
+    name, *files = sys.argv[1:]
+    if not files:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     _leave_out()
-    module = importlib.import_module(sys.argv[1])
-    module.main(sys.argv[2])
+    importlib.import_module(name).main(*files)
 
 
 if __name__ == '__main__':
