--- a/packages/core/src/camphorstair_core/fleet/membership.py
+++ b/packages/core/src/camphorstair_core/fleet/membership.py
@@ -60,25 +60,12 @@
             leave(members, name, None)
 
 
-def addresses(
-    members: Members,
-    own: Member | None,
-    data_centre: str,
-) -> list[str]:
+def addresses(named: list[Member], data_centre: str) -> list[str]:
     """Return the addresses for a caller: those of its data centre first.
 
-    :param members: The members.
-    :param own: This entry, which is named even if its key is lost; None when
-        it leaves.
+    :param named: The members that it is told of.
     :param data_centre: Where the caller is.
     """
-    found = dict(members.present)
-    if own is not None:
-        found[own.name] = own
-    near = [
-        one.address for one in found.values() if one.data_centre == data_centre
-    ]
-    far = [
-        one.address for one in found.values() if one.data_centre != data_centre
-    ]
+    near = [one.address for one in named if one.data_centre == data_centre]
+    far = [one.address for one in named if one.data_centre != data_centre]
     return near + far
--- a/packages/entry/src/camphorstair/fleet/directory.py
+++ b/packages/entry/src/camphorstair/fleet/directory.py
@@ -37,16 +37,27 @@
         if question is None:
             body = {'error': f'no call {request.path}'}
             return http_messages.json_response(http.HTTPStatus.NOT_FOUND, body)
-        own = self.entry.own_member() if self.entry.ready() else None
-        found = membership.addresses(
-            self.entry.members, own, question.data_centre
-        )
+        found = membership.addresses(self._named(), question.data_centre)
         if not found:
             body = {'error': 'no entry serves'}
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
             return http_messages.json_response(status, body)
         return directory.answer(found, membership.ANSWER_LIFE_S)
 
+    def _named(self) -> list[membership.Member]:
+        """Return the members that callers are told of.
+
+        Whether this entry is one it knows better than the store. An entry
+        whose knowledge is too old for keys names itself only if it knows no
+        other.
+        """
+        own = self.entry.own_member()
+        present = self.entry.members.present.values()
+        others = [one for one in present if one.name != own.name]
+        if self.entry.ready() or (self.entry.serves() and not others):
+            return [*others, own]
+        return others
+
     def _readiness(self) -> http_messages.Response:
         status = http.HTTPStatus.SERVICE_UNAVAILABLE
         if self.entry.ready():
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -17,8 +17,6 @@
 from camphorstair_runtime import clocks, http_messages, http_server
 
 DEFAULT_LIMIT_S = 60.0
-# Less than the limit, as the check comes before the endpoint's start.
-KEY_AGE_SHARE = 0.9
 # Part of a short time limit that is kept for the answer itself.
 LAST_PART_SHARE = 0.25
 # Stands in logs for an age without bound.
@@ -127,11 +125,9 @@
         return found
 
     def _check_age(self) -> None:
-        limit_s = self.entry.settings.bounds.revoke_s * KEY_AGE_SHARE
-        now_s = clocks.suspended_s()
-        if knowledge.keys_current(self.entry.known, now_s, limit_s):
+        if self.entry.keys_current():
             return
-        age_s = knowledge.age_s(self.entry.known, now_s)
+        age_s = knowledge.age_s(self.entry.known, clocks.suspended_s())
         raise errors.RequestError(
             errors.no_configuration,
             f'keys were last confirmed {age_s:.1f} s ago',
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -17,8 +17,11 @@
     windows,
 )
 from camphorstair_platform import boot
+from camphorstair_runtime import clocks
 
 COLD_WINDOW_S = 1.0
+# Less than the limit, as the check comes before the endpoint's start.
+KEY_AGE_SHARE = 0.9
 
 
 @attrs.define(eq=False)
@@ -60,12 +63,24 @@
     )
     leaving: bool = False
 
-    def ready(self) -> bool:
-        """Tell whether callers may be sent here."""
+    def serves(self) -> bool:
+        """Tell whether requests can be answered, those with a key perhaps."""
         return (
             not self.leaving and self.configuration is not None and self.listed
         )
 
+    def ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        known = self.configuration
+        if known is None or not self.serves():
+            return False
+        return known.organisations is None or self.keys_current()
+
+    def keys_current(self) -> bool:
+        """Tell whether no key can have been taken away for too long."""
+        limit_s = self.settings.bounds.revoke_s * KEY_AGE_SHARE
+        return knowledge.keys_current(self.known, clocks.suspended_s(), limit_s)
+
     def caller_limits(self) -> caller_limits.CallerLimits:
         """Return what callers may send by the configuration in force."""
         known = self.configuration
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -202,12 +202,16 @@
     near = membership.Member('near', 'levis-nord', '1:1', '1:2')
     membership.join(members, far)
     membership.join(members, near)
-    assert membership.addresses(members, None, 'levis-nord') == ['1:1', '2:1']
+    assert _named(members) == ['1:1', '2:1']
     membership.leave(members, 'near', None)
     membership.leave(members, 'far', absent_deadline_s=3)
-    assert membership.addresses(members, None, 'levis-nord') == ['2:1']
+    assert _named(members) == ['2:1']
     membership.expire(members, 3)
-    assert not membership.addresses(members, None, 'levis-nord')
+    assert not _named(members)
+
+
+def _named(members: membership.Members) -> list[str]:
+    return membership.addresses(list(members.present.values()), 'levis-nord')
 
 
 @given(st.integers(0, 9), st.integers(1, 9))
@@ -238,7 +242,9 @@
         )
 
     routes = catalogue.group_by_host([route('a', '/x/'), route('b', '/x/y/')])
-    known = catalogue.Catalogue(1, routes, {}, None, caller_limits.CallerLimits())
+    known = catalogue.Catalogue(
+        1, routes, {}, None, caller_limits.CallerLimits()
+    )
     found = known.find_route('H:80', '/x/y/z')
     assert found and found.name == 'b'
     assert known.find_route('h', '/x') is None
--- /dev/null
+++ b/tests/test_fleet_directory.py
@@ -0,0 +1,120 @@
+"""What an entry tells callers and the platform of who serves."""
+
+import http
+
+import fleet_bench
+import msgspec
+import pytest
+
+from camphorstair_core.fleet import membership
+from camphorstair_runtime import http_client, http_messages
+
+OTHER = membership.Member('front-2', 'levis-nord', '127.0.0.1:9', '127.0.0.1:8')
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+async def _ask(running: fleet_bench.FleetBench) -> http_messages.Response:
+    request = http_messages.Request(
+        'GET',
+        '/camphorstair/resolve?Name=x&Region=qc-est&Zone=levis-nord',
+        [],
+        b'',
+    )
+    return await http_client.fetch(running.told.directory_address, request)
+
+
+async def _named(running: fleet_bench.FleetBench) -> set[str]:
+    answer = await _ask(running)
+    return set(msgspec.json.decode(answer.body)['Addresses'])
+
+
+async def _readiness(running: fleet_bench.FleetBench) -> int:
+    request = http_messages.Request('GET', '/camphorstair/ready', [], b'')
+    answer = await http_client.fetch(running.told.ready_address, request)
+    return answer.status
+
+
+async def _lose_store(running: fleet_bench.FleetBench) -> None:
+    """Let the entry's knowledge be too old for keys."""
+    running.store.faults.refuses = True
+    await running.until(lambda: running.entry.known.lost_s is not None)
+    running.entry.known.proven_s -= 5
+
+
+def test_the_directory_names_the_members(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        request = http_messages.Request(
+            'GET',
+            '/camphorstair/resolve?Name=x&Region=qc-est&Zone=levis-nord',
+            [],
+            b'',
+        )
+        address = running.told.directory_address
+        answer = await http_client.fetch(address, request)
+        assert answer.status == 200
+        assert running.told.callers_address.encode() in answer.body
+
+    bench.run(body)
+
+
+def test_a_lapsed_membership_is_taken_up_again(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        key = 'camphorstair/members/front-1'
+        await running.until(lambda: key in running.store.rows)
+        running.store.end_lease(running.store.rows[key].lease)
+        assert key not in running.store.rows
+        await running.until(lambda: key in running.store.rows)
+
+    bench.run(body)
+
+
+def test_an_entry_that_would_refuse_keys_names_the_others(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        membership.join(running.entry.members, OTHER)
+        own = running.told.callers_address
+        assert await _named(running) == {own, OTHER.address}
+        assert await _readiness(running) == http.HTTPStatus.OK
+        await _lose_store(running)
+        assert await _named(running) == {OTHER.address}
+        assert await _readiness(running) == http.HTTPStatus.SERVICE_UNAVAILABLE
+        running.store.faults.refuses = False
+        await running.until(running.entry.ready)
+        assert own in await _named(running)
+
+    bench.run(body)
+
+
+def test_an_entry_that_knows_no_other_names_itself(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await _lose_store(running)
+        assert await _named(running) == {running.told.callers_address}
+        running.entry.leaving = True
+        answer = await _ask(running)
+        assert answer.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        running.entry.leaving = False
+
+    bench.run(body)
+
+
+def test_an_entry_without_keys_stays_ready_by_what_it_knows(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        running.configure(2, Tenants=None)
+        await running.until(lambda: running.entry.configuration.version == 2)
+        await _lose_store(running)
+        assert await _readiness(running) == http.HTTPStatus.OK
+
+    bench.run(body)
--- a/tests/test_fleet_entry.py
+++ b/tests/test_fleet_entry.py
@@ -315,37 +315,6 @@
     bench.run(body)
 
 
-def test_the_directory_names_the_members(
-    bench: fleet_bench.FleetBench,
-) -> None:
-    async def body(running: fleet_bench.FleetBench) -> None:
-        request = http_messages.Request(
-            'GET',
-            '/camphorstair/resolve?Name=x&Region=qc-est&Zone=levis-nord',
-            [],
-            b'',
-        )
-        address = running.told.directory_address
-        answer = await http_client.fetch(address, request)
-        assert answer.status == 200
-        assert running.told.callers_address.encode() in answer.body
-
-    bench.run(body)
-
-
-def test_a_lapsed_membership_is_taken_up_again(
-    bench: fleet_bench.FleetBench,
-) -> None:
-    async def body(running: fleet_bench.FleetBench) -> None:
-        key = 'camphorstair/members/front-1'
-        await running.until(lambda: key in running.store.rows)
-        running.store.end_lease(running.store.rows[key].lease)
-        assert key not in running.store.rows
-        await running.until(lambda: key in running.store.rows)
-
-    bench.run(body)
-
-
 def test_keys_are_refused_once_the_configuration_is_too_old(
     bench: fleet_bench.FleetBench,
 ) -> None:
