--- a/packages/core/src/camphorstair_core/fleet/ejection.py
+++ b/packages/core/src/camphorstair_core/fleet/ejection.py
@@ -17,14 +17,12 @@
     :ivar failures: Failed answers in a row.
     :ivar ejections: Ejections in a row.
     :ivar ejected_deadline_s: Until when it gets no requests.
-    :ivar slowness: Its time to an answer over that of its peers; 1 is usual.
     :ivar answered_began_s: When the latest request that it answered was sent.
     """
 
     failures: int = 0
     ejections: int = 0
     ejected_deadline_s: float = 0
-    slowness: float = 1.0
     answered_began_s: float = 0
 
 
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -14,6 +14,11 @@
 FAR_PENALTY = 0.5
 EJECTED_PENALTY = 1000.0
 REPORT_LIFE_S = 1.0
+# A rank this much slower than the fastest one of its group gets no requests.
+SLOW_FACTOR = 1.4
+# One this much slower makes the pauses of all streams too long.
+STALLING_FACTOR = 2.5
+LARGEST_SLOW_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -26,6 +31,7 @@
     :ivar reported_s: When it reported; 0 if it never has.
     :ivar waiting: Waiting requests that it reported.
     :ivar is_open: Whether its rank group worked when it reported.
+    :ivar pace: How much slower than usual it was when it reported.
     """
 
     running: int = 0
@@ -34,6 +40,7 @@
     reported_s: float = 0
     waiting: int = 0
     is_open: bool = True
+    pace: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -83,6 +90,35 @@
     return allowed - estimated_work(candidate.load, now_s)
 
 
+def slow_ranks(
+    candidates: list[Candidate],
+    factor: float,
+    now_s: float,
+) -> list[Candidate]:
+    """Return the ranks that hold up their whole group.
+
+    All ranks make a pass together, so each request at a slow rank slows the
+    requests of all. A rank without requests of its own holds up little.
+
+    :param candidates: Endpoints of one service that may be used.
+    :param factor: How much slower than the fastest one a slow rank is.
+    :returns: Nothing if so many are slow that the others could not do.
+    """
+    limit = factor * min(
+        (_rank_pace(one, now_s) for one in candidates), default=1
+    )
+    slow = [one for one in candidates if _rank_pace(one, now_s) > limit]
+    return slow if len(slow) <= LARGEST_SLOW_SHARE * len(candidates) else []
+
+
+def _rank_pace(candidate: Candidate, now_s: float) -> float:
+    """Return how much slower than usual a rank is; 1 if it is no rank."""
+    if candidate.endpoint.registration.membership is None:
+        return 1
+    load = candidate.load
+    return load.pace if now_s - load.reported_s < REPORT_LIFE_S else 1
+
+
 def choose(
     candidates: list[Candidate],
     data_centre: str,
@@ -105,10 +141,12 @@
 
 def _cost(candidate: Candidate, data_centre: str, now_s: float) -> float:
     registration = candidate.endpoint.registration
-    work = estimated_work(candidate.load, now_s)
-    cost = work / max(1, registration.slots)
+    load = candidate.load
+    # The request itself counts, so that a slow endpoint costs more when idle.
+    work = (estimated_work(load, now_s) + 1) * max(1, load.pace)
     if registration.data_centre != data_centre:
-        cost += FAR_PENALTY / max(1, registration.slots)
+        work += FAR_PENALTY
+    cost = work / max(1, registration.slots)
     if ejection.is_ejected(candidate.health, now_s):
         cost += EJECTED_PENALTY
-    return cost * max(1, candidate.health.slowness)
+    return cost
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -17,6 +17,8 @@
 PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4
 PATIENCE_GAPS = 8
+# Part of a short time limit that is kept for the answer itself.
+LAST_PART_SHARE = 0.25
 
 
 @attrs.define(eq=False)
@@ -34,8 +36,8 @@
     organisation: str
     priority: int
     arrived_s: float
-    timely_until_s: float
-    useful_until_s: float
+    timely_until_s: float = 0
+    useful_until_s: float = 0
     excluded: set[str] = attrs.field(factory=set)
 
 
@@ -62,6 +64,25 @@
     )
 
 
+def set_deadlines(
+    waiter: Waiter,
+    route: catalogue.Route,
+    now_s: float,
+    deadline_s: float,
+) -> None:
+    """Set how long a request may wait for its next attempt.
+
+    The caller's patience begins anew with each part of a stream that it gets.
+
+    :param now_s: The time of its arrival, or of the end of an attempt.
+    :param deadline_s: When its final answer is due.
+    """
+    limit_s = min(deadline_s - now_s, patience_s(route))
+    answer_s = min(route.target_s, limit_s * LAST_PART_SHARE)
+    waiter.timely_until_s = now_s + route.target_s / 2
+    waiter.useful_until_s = now_s + limit_s - answer_s
+
+
 def in_order(queue: Queue, now_s: float) -> list[Waiter]:
     """Return those that wait, the next one first."""
 
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -8,7 +8,12 @@
 from camphorstair_core import errors, event_stream, verdicts
 from camphorstair_core.fleet import placement
 from camphorstair_platform import headers
-from camphorstair_runtime import clocks, http_client, http_messages
+from camphorstair_runtime import (
+    clocks,
+    closing,
+    http_client,
+    http_messages,
+)
 
 MOST_FOREIGN_ANSWERS = 4
 
@@ -55,6 +60,8 @@
     :ivar entry: The entry's state.
     :ivar call: The request.
     :ivar candidate: The endpoint.
+    :ivar exchange: The connection to the endpoint, once it stands.
+    :ivar left: Whether the rest of the answer is not wanted.
     :ivar answered: Whether the head of an answer has come.
     :ivar first_part_s: When the first part of the answer was passed on.
     """
@@ -62,6 +69,8 @@
     entry: state.FleetEntry
     call: calls.Call
     candidate: placement.Candidate
+    exchange: http_client.Exchange | None = None
+    left: bool = False
     answered: bool = False
     first_part_s: float = 0
 
@@ -72,6 +81,7 @@
         """
         registration = self.candidate.endpoint.registration
         exchange = await self._connect(registration.address)
+        self.exchange = exchange
         idle_s: float | None = 0
         try:
             answer = await self._ask(exchange, registration.endpoint)
@@ -86,6 +96,12 @@
                 registration.address, exchange, idle_s, clocks.monotonic_s()
             )
 
+    def leave(self) -> None:
+        """Let the attempt fail, as if the endpoint had broken off."""
+        if self.exchange is not None:
+            self.left = True
+            closing.stop_reading(self.exchange.sock)
+
     async def _connect(self, address: str) -> http_client.Exchange:
         """Return a connection; a new one if a loss could not be repeated."""
         if self.call.route.repeatable():
@@ -177,6 +193,8 @@
             if events:
                 await self._send(exchange, stream.take(events, resumed=resumed))
             chunk = await exchange.read()
+        if self.left:
+            raise http_client.HttpError('the rank is too slow', sent=True)
         if cutter.pending:
             raise http_client.HttpError('an event broke off', sent=True)
         await self._finish(exchange)
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -142,6 +142,20 @@
         spread = self.entry.generator.uniform(1, RETRY_SPREAD)
         return errors.RequestError(code, message, retry_after_s=base_s * spread)
 
+    def stalling(self, service: str) -> list[placement.Candidate]:
+        """Return the ranks whose requests had better go on elsewhere.
+
+        There are none while no other rank has a place.
+        """
+        now_s = clocks.monotonic_s()
+        if not any(
+            self._admits(service, one, now_s) for one in self._usable(service)
+        ):
+            return []
+        return placement.slow_ranks(
+            self._registered(service), placement.STALLING_FACTOR, now_s
+        )
+
     def _check_service(self, service: str, waiter: waiting.Waiter) -> None:
         """Refuse at once what no endpoint can take for now."""
         queue = self.entry.queue(service)
@@ -169,7 +183,9 @@
         sound = [
             one for one in found if not ejection.is_ejected(one.health, now_s)
         ]
-        return sound or found
+        sound = sound or found
+        slow = placement.slow_ranks(sound, placement.SLOW_FACTOR, now_s)
+        return [one for one in sound if one not in slow]
 
     def _registered(self, service: str) -> list[placement.Candidate]:
         return [
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -7,7 +7,7 @@
 
 from camphorstair.fleet import attempts, calls, dispatch, state
 from camphorstair_core import errors, verdicts
-from camphorstair_core.fleet import ejection, placement, roster
+from camphorstair_core.fleet import ejection, placement, roster, waiting
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
@@ -21,12 +21,14 @@
     :ivar dispatcher: Hands out endpoints.
     :ivar call: The request.
     :ivar queued_s: When its last attempt began, after its arrival.
+    :ivar moving: Whether the present attempt ends for one elsewhere.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     call: calls.Call
     queued_s: float = 0
+    moving: bool = False
 
     async def run(self) -> None:
         """Attempt the request until it is answered.
@@ -38,6 +40,9 @@
         budget.requests.add(clocks.monotonic_s())
         failure = await self._try_once()
         while failure is not None and self._may_go_on(failure):
+            waiting.set_deadlines(
+                call.waiter, call.route, clocks.monotonic_s(), call.deadline_s
+            )
             try:
                 failure = await self._try_once()
             except errors.RequestError as refusal:
@@ -72,19 +77,12 @@
         endpoint = candidate.endpoint.registration.endpoint
         began_s = clocks.monotonic_s()
         try:
-            await attempt.run()
+            await self._run_movable(attempt, endpoint)
         except curio.CancelledError:
             self._note_unanswered(attempt, began_s)
             raise
         except attempts.AttemptError as failure:
-            self.call.sent = False
-            self.call.attempts += failure.sent
-            self.call.waiter.excluded.add(endpoint)
-            self.call.verdict = verdicts.worst(
-                self.call.verdict, failure.verdict
-            )
-            if not failure.timed_out():
-                self._note_failure(candidate, str(failure), failure.verdict)
+            self._take_failure(attempt, failure)
             return failure
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
@@ -92,6 +90,49 @@
         self._note_answer(endpoint, attempt)
         return None
 
+    async def _run_movable(
+        self,
+        attempt: attempts.Attempt,
+        endpoint: str,
+    ) -> None:
+        def move() -> bool:
+            return self._move(attempt)
+
+        moves = self.entry.moves.setdefault(endpoint, [])
+        moves.append(move)
+        try:
+            await attempt.run()
+        finally:
+            moves.remove(move)
+            if not moves:
+                self.entry.moves.pop(endpoint, None)
+
+    def _move(self, attempt: attempts.Attempt) -> bool:
+        """Let a stream go on at another endpoint, if it may."""
+        call = self.call
+        if self.moving or attempt.exchange is None or not call.streaming():
+            return False
+        # The present attempt counts once it has ended.
+        if not self._may_repeat(call.attempts + 1) or not self._take_repeat():
+            return False
+        self.moving = True
+        attempt.leave()
+        return True
+
+    def _take_failure(
+        self,
+        attempt: attempts.Attempt,
+        failure: attempts.AttemptError,
+    ) -> None:
+        call = self.call
+        call.sent = False
+        call.attempts += failure.sent
+        candidate = attempt.candidate
+        call.waiter.excluded.add(candidate.endpoint.registration.endpoint)
+        call.verdict = verdicts.worst(call.verdict, failure.verdict)
+        if not attempt.left and not failure.timed_out():
+            self._note_failure(candidate, str(failure), failure.verdict)
+
     def _note_unanswered(
         self,
         attempt: attempts.Attempt,
@@ -138,18 +179,29 @@
 
     def _may_go_on(self, failure: attempts.AttemptError) -> bool:
         """Tell whether another attempt is allowed after a failure."""
+        moving = self.moving
+        self.moving = False
+        if not self._may_repeat(self.call.attempts):
+            return False
+        return moving or not failure.sent or self._take_repeat()
+
+    def _may_repeat(self, made: int) -> bool:
+        """Tell whether the request may be sent once more.
+
+        :param made: Endpoints that it was sent to.
+        """
         call = self.call
         if not verdicts.may_retry(
             call.verdict, idempotent=call.route.repeatable()
         ):
             return False
-        if call.responder.torn or call.attempts >= call.route.max_attempts:
+        if call.responder.torn or made >= call.route.max_attempts:
             return False
-        if call.responder.started and not call.stream.numbered:
-            return False
-        if not failure.sent:
-            return True
-        budget = self.entry.budget(call.service)
+        return call.stream.numbered or not call.responder.started
+
+    def _take_repeat(self) -> bool:
+        """Take a repeat from the budget of all entries, if there is one."""
+        budget = self.entry.budget(self.call.service)
         entries = self.entry.entry_count.bound()
         taken = budget.take(entries, clocks.monotonic_s())
         self.entry.meters.repeats.add(1, {'taken': taken})
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -17,8 +17,6 @@
 from camphorstair_runtime import clocks, http_messages, http_server
 
 DEFAULT_LIMIT_S = 60.0
-# Part of a short time limit that is kept for the answer itself.
-LAST_PART_SHARE = 0.25
 # Stands in logs for an age without bound.
 NEVER_CONFIRMED_S = 1e6
 
@@ -58,12 +56,14 @@
     async def _forward(self, call: calls.Call) -> None:
         work = forwarding.Forwarding(self.entry, self.dispatcher, call)
         async with curio.TaskGroup(wait=any) as group:
-            running = await group.spawn(work.run)
+            running = await group.spawn(_outcome, work)
             await group.spawn(call.responder.wait_disconnected)
         if running.cancelled:
             raise http_server.Disconnected('the caller is gone')
         if running.exception is not None:
             raise _as_known(running.exception)
+        if running.result is not None:
+            raise running.result
 
     def _decide(
         self,
@@ -196,21 +196,24 @@
     priority = route.priority
     if organisation and organisation.priority is not None:
         priority = organisation.priority
-    limit_s = min(deadline_s - now_s, waiting.patience_s(route))
-    answer_s = min(route.target_s, limit_s * LAST_PART_SHARE)
-    return waiting.Waiter(
-        organisation.name if organisation else '',
-        priority,
-        now_s,
-        now_s + route.target_s / 2,
-        now_s + limit_s - answer_s,
+    waiter = waiting.Waiter(
+        organisation.name if organisation else '', priority, now_s
     )
+    waiting.set_deadlines(waiter, route, now_s, deadline_s)
+    return waiter
 
 
-def _as_known(failure: BaseException) -> BaseException:
-    """Return an error that a caller can be told of."""
-    if isinstance(failure, errors.RequestError | http_server.Disconnected):
+async def _outcome(work: forwarding.Forwarding) -> Exception | None:
+    """Return the expected errors, as a task that raises is logged at length."""
+    try:
+        await work.run()
+    except (errors.RequestError, http_server.Disconnected) as failure:
         return failure
+    return None
+
+
+def _as_known(failure: BaseException) -> errors.RequestError:
+    """Return the error that a caller is told for one that is not expected."""
     _LOG.error('request failed', exc_info=failure)
     return errors.RequestError(
         errors.internal_error,
--- a/packages/entry/src/camphorstair/fleet/sensing.py
+++ b/packages/entry/src/camphorstair/fleet/sensing.py
@@ -55,4 +55,5 @@
                     clocks.monotonic_s(),
                 )
                 candidate.load.is_open = message.is_open
+                candidate.load.pace = message.pace
                 await self.dispatcher.advance(endpoint.registration.service)
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -15,6 +15,7 @@
     gauges,
     instruments,
     joining,
+    moving,
     receiving,
     sensing,
     state,
@@ -163,6 +164,7 @@
             _LOG.info('endpoint did not come back', extra={'endpoint': name})
         membership.expire(entry.members, now_s)
         await entry.kept.expire(now_s)
+        moving.move_from_slow_ranks(entry, process.dispatcher)
         await process.dispatcher.advance_all()
 
 
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -1,6 +1,7 @@
 """What an entry of the fleet knows and has in progress."""
 
 import random
+from collections import abc
 
 import attrs
 
@@ -19,6 +20,9 @@
 from camphorstair_platform import boot
 from camphorstair_runtime import clocks
 
+# Returns whether the request is moved.
+Move = abc.Callable[[], bool]
+
 COLD_WINDOW_S = 1.0
 # Less than the limit, as the check comes before the endpoint's start.
 KEY_AGE_SHARE = 0.9
@@ -41,6 +45,8 @@
     :ivar cold_sends: Requests sent lately, by cold endpoint.
     :ivar queues: Waiting requests by service.
     :ivar budgets: Repeats by service.
+    :ivar moves: Functions that move the requests at an endpoint to another
+        one, by endpoint.
     :ivar kept: Idle connections to endpoints.
     :ivar leaving: Whether the entry shuts down.
     """
@@ -58,6 +64,7 @@
     cold_sends: dict[str, windows.SlidingWindow] = attrs.field(factory=dict)
     queues: dict[str, waiting.Queue] = attrs.field(factory=dict)
     budgets: dict[str, windows.RetryBudget] = attrs.field(factory=dict)
+    moves: dict[str, list[Move]] = attrs.field(factory=dict)
     kept: connections.Connections = attrs.field(
         factory=connections.Connections,
     )
--- a/packages/standins/src/camphorstair_standins/platform_runner.py
+++ b/packages/standins/src/camphorstair_standins/platform_runner.py
@@ -24,6 +24,7 @@
     :ivar events: Events of the stream; 0 answers with a short body.
     :ivar breaks_after: Events after which the connection is reset; 0 never.
     :ivar delay_s: Time before the answer.
+    :ivar gap_s: Time between the events of a stream.
     :ivar foreign: Whether an answer to another request comes first.
     :ivar sealed: Whether the answer bears the seal.
     """
@@ -33,6 +34,7 @@
     events: int = 0
     breaks_after: int = 0
     delay_s: float = 0
+    gap_s: float = 0
     foreign: bool = False
     sealed: bool = True
 
@@ -110,6 +112,7 @@
             await responder.send(b'id: %d\ndata: torn' % number)
             raise http_server.Disconnected('broken by the script')
         await responder.send(b'id: %d\ndata: w%d\n\n' % (number, number))
+        await curio.sleep(script.gap_s)
     await responder.finish()
 
 
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -179,6 +179,19 @@
     assert chosen is idle
 
 
+@pytest.mark.parametrize(('pace', 'slow_is_chosen'), [(1.2, True), (5, False)])
+def test_an_idle_slow_endpoint_is_chosen_only_if_it_is_sooner(
+    pace: float,
+    *,
+    slow_is_chosen: bool,
+) -> None:
+    slow, busy = _candidate('i-1'), _candidate('i-2')
+    slow.load.pace = pace
+    placement.note_report(busy.load, running=2, waiting=0, now_s=1)
+    chosen = placement.choose([slow, busy], 'levis-nord', 1.1, random.Random(1))
+    assert (chosen is slow) is slow_is_chosen
+
+
 def test_what_was_sent_since_a_report_counts_on_top() -> None:
     load = placement.Load(running=2)
     placement.note_report(load, running=5, waiting=0, now_s=1)
--- /dev/null
+++ b/tests/test_fleet_moving.py
@@ -0,0 +1,130 @@
+"""Streams at a rank that turns slow, and requests that come meanwhile."""
+
+import curio
+import fleet_bench
+import pytest
+
+from camphorstair_core.fleet import placement
+from camphorstair_runtime import clocks, http_messages
+from camphorstair_standins import platform_runner
+
+Script = platform_runner.Script
+SLOW = Script(events=8, gap_s=0.6)
+EVENTS = tuple(b'id: %d' % number for number in range(1, 9))
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+async def _add_rank(
+    running: fleet_bench.FleetBench,
+    name: str,
+    rank: int,
+    script: Script,
+) -> platform_runner.Runner:
+    runner = await running.add_runner(name, 'engine', script)
+    known = running.entry.endpoints.endpoints
+    running.register(
+        name,
+        'engine',
+        known[name].registration.address,
+        group={'Name': 'g', 'epoch': 1, 'rank': rank, 'State': 'open'},
+        size=2,
+    )
+    await running.until(lambda: known[name].registration.membership)
+    return runner
+
+
+def _report_pace(
+    running: fleet_bench.FleetBench,
+    name: str,
+    pace: float,
+) -> None:
+    load = running.entry.candidates[name].load
+    placement.note_report(load, load.running, 0, clocks.monotonic_s())
+    load.pace = pace
+
+
+def _identifiers(answer: http_messages.Response) -> tuple[bytes, ...]:
+    lines = answer.body.split(b'\n')
+    return tuple(line for line in lines if line.startswith(b'id'))
+
+
+def _failures(running: fleet_bench.FleetBench, name: str) -> int:
+    health = running.entry.candidates[name].health
+    return health.failures
+
+
+@pytest.mark.parametrize(
+    ('script', 'until_slow_s', 'last_event'),
+    [(Script(events=8, delay_s=9), 0, ''), (SLOW, 0.8, '2')],
+)
+def test_a_stream_goes_on_at_another_rank_when_its_own_turns_slow(
+    bench: fleet_bench.FleetBench,
+    script: Script,
+    until_slow_s: float,
+    last_event: str,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        slow = await _add_rank(running, 'i-1', 0, script)
+        caller = await curio.spawn(running.call, '/draft/')
+        await running.until(lambda: slow.arrivals)
+        await curio.sleep(until_slow_s)
+        fast = await _add_rank(running, 'i-2', 1, Script(events=8))
+        _report_pace(running, 'i-1', 12)
+        answer = await caller.join()
+        assert _identifiers(answer) == EVENTS
+        assert fast.arrivals[0].header('last-event-id') == last_event
+        assert (slow.left, _failures(running, 'i-1')) == (1, 0)
+
+    bench.run(body)
+
+
+@pytest.mark.parametrize('pace', [1.2, 2.0])
+def test_a_stream_stays_while_its_pauses_are_short(
+    bench: fleet_bench.FleetBench,
+    pace: float,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        script = Script(events=8, gap_s=0.05)
+        rank = await _add_rank(running, 'i-1', 0, script)
+        caller = await curio.spawn(running.call, '/draft/')
+        await running.until(lambda: rank.arrivals)
+        await _add_rank(running, 'i-2', 1, Script(events=8))
+        _report_pace(running, 'i-1', pace)
+        assert _identifiers(await caller.join()) == EVENTS
+        assert not rank.left
+
+    bench.run(body)
+
+
+def test_a_slow_rank_gets_no_requests(bench: fleet_bench.FleetBench) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        slow = await _add_rank(running, 'i-1', 0, Script(events=8))
+        fast = await _add_rank(running, 'i-2', 1, Script(events=8))
+        await running.call('/draft/')
+        await running.call('/draft/')
+        _report_pace(running, 'i-1', 1.6)
+        before = len(slow.arrivals)
+        for number in range(4):
+            await running.call('/draft/', f'b{number}')
+        assert len(slow.arrivals) == before
+        assert len(fast.arrivals) >= 4
+
+    bench.run(body)
+
+
+def test_a_stream_that_ran_long_goes_on_after_a_break(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        broken = Script(events=8, gap_s=0.6, breaks_after=4)
+        runner = await running.add_runner('i-1', 'engine', broken)
+        caller = await curio.spawn(running.call, '/draft/')
+        await running.until(lambda: runner.arrivals)
+        await running.add_runner('i-2', 'engine', Script(events=8))
+        assert _identifiers(await caller.join()) == EVENTS
+
+    bench.run(body)
