--- a/packages/core/src/camphorstair_core/fleet/roster.py
+++ b/packages/core/src/camphorstair_core/fleet/roster.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# A group whose last rank has come back works again within this time.
+FORMING_S = 1.0
+
 
 class EndpointState(enum.StrEnum):
     """What an endpoint says of itself."""
@@ -61,11 +64,15 @@
     :ivar cold_deadline_s: Until when it is cold.
     :ivar absent_deadline_s: When it counts as gone, if its registration
         lapsed around an outage of the store; None while it is registered.
+    :ivar known_s: When this process got to know it.
+    :ivar disproved: Whether an answer from its address showed that it is gone.
     """
 
     registration: Registration
+    known_s: float = 0
     cold_deadline_s: float = 0
     absent_deadline_s: float | None = None
+    disproved: bool = False
 
 
 @attrs.define
@@ -92,10 +99,11 @@
     name = registration.endpoint
     known = roster.endpoints.get(name)
     if known is None or _restarted(known.registration, registration):
-        known = Endpoint(registration)
+        known = Endpoint(registration, now_s)
         roster.endpoints[name] = known
     known.registration = registration
     known.absent_deadline_s = None
+    known.disproved = False
     known.cold_deadline_s = now_s + registration.cold_s
     return known
 
@@ -147,10 +155,41 @@
     return registration.data_centre not in roster.out
 
 
-def group_closed(endpoint: Endpoint) -> bool:
-    """Tell whether an endpoint is a rank of a group that does not work."""
+def disprove(roster: Roster, endpoint: Endpoint) -> None:
+    """Note that another process answers at an endpoint's address.
+
+    A rank group whose rank was replaced does not work until it has formed
+    again, which its ranks register.
+    """
+    endpoint.disproved = True
+    group = _group(endpoint)
+    for one in roster.endpoints.values():
+        if group and _group(one) == group:
+            one.disproved = True
+
+
+def closed(endpoint: Endpoint) -> bool:
+    """Tell whether an endpoint is gone, or a rank of a closed group."""
+    membership = endpoint.registration.membership
+    return endpoint.disproved or not (membership is None or membership.is_open)
+
+
+def forming(roster: Roster, service: str, now_s: float) -> bool:
+    """Tell whether a closed rank group of a service is about to work again.
+
+    Its last rank has just come back, as far as this process knows.
+    """
+    ranks = [
+        one
+        for one in usable(roster, service)
+        if one.registration.membership is not None and closed(one)
+    ]
+    return any(now_s - one.known_s < FORMING_S for one in ranks)
+
+
+def _group(endpoint: Endpoint) -> tuple[str, int] | None:
     membership = endpoint.registration.membership
-    return membership is not None and not membership.is_open
+    return (membership.group, membership.epoch) if membership else None
 
 
 def _restarted(before: Registration, after: Registration) -> bool:
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -25,6 +25,7 @@
     :ivar answer: A whole failure of the endpoint, to be passed on if no other
         attempt is made.
     :ivar sent: Whether anything was sent to the endpoint.
+    :ivar misdirected: Whether another endpoint answers at the address.
     """
 
     def __init__(
@@ -34,12 +35,14 @@
         *,
         answer: http_messages.Response | None = None,
         sent: bool = True,
+        misdirected: bool = False,
     ) -> None:
         """Keep what is known of the attempt's end."""
         super().__init__(message)
         self.verdict = verdict
         self.answer = answer
         self.sent = sent
+        self.misdirected = misdirected
 
     def timed_out(self) -> bool:
         """Tell whether the endpoint stopped at the deadline that it was told.
@@ -181,7 +184,12 @@
         if not answer.not_run:
             verdict = verdicts.Verdict.ran
             whole = await _read_whole(exchange)
-        raise AttemptError(f'status {answer.status}', verdict, answer=whole)
+        raise AttemptError(
+            f'status {answer.status}',
+            verdict,
+            answer=whole,
+            misdirected=answer.status == http.HTTPStatus.MISDIRECTED_REQUEST,
+        )
 
     async def _pass_stream(self, exchange: http_client.Exchange) -> None:
         cutter = event_stream.EventCutter()
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -165,7 +165,10 @@
             )
         usable = self._usable(service)
         names = {one.endpoint.registration.endpoint for one in usable}
-        if not names - waiter.excluded:
+        if names - waiter.excluded:
+            return
+        now_s = clocks.monotonic_s()
+        if not roster.forming(self.entry.endpoints, service, now_s):
             raise self.refusal(
                 service,
                 errors.no_endpoint,
@@ -254,7 +257,7 @@
 
 
 def _is_closed(candidate: placement.Candidate, now_s: float) -> bool:
-    return roster.group_closed(candidate.endpoint) or (
+    return roster.closed(candidate.endpoint) or (
         placement.reported_closed(candidate.load, now_s)
     )
 
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -130,6 +130,8 @@
         candidate = attempt.candidate
         call.waiter.excluded.add(candidate.endpoint.registration.endpoint)
         call.verdict = verdicts.worst(call.verdict, failure.verdict)
+        if failure.misdirected:
+            roster.disprove(self.entry.endpoints, candidate.endpoint)
         if not attempt.left and not failure.timed_out():
             self._note_failure(candidate, str(failure), failure.verdict)
 
--- /dev/null
+++ b/tests/test_fleet_forming.py
@@ -0,0 +1,92 @@
+"""Requests while a rank group forms again after its engines restarted."""
+
+import typing
+
+import curio
+import fleet_bench
+import pytest
+
+from camphorstair_core.fleet import roster
+from camphorstair_standins import platform_runner
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+def _group(epoch: int, group_state: str) -> dict[str, typing.Any]:
+    membership = {
+        'Name': 'g',
+        'epoch': epoch,
+        'rank': 0,
+        'State': group_state,
+    }
+    return {'group': membership, 'size': 1}
+
+
+async def _add_rank(
+    running: fleet_bench.FleetBench,
+) -> tuple[platform_runner.Runner, str]:
+    """Start an engine of an open group; return it and its address."""
+    runner = await running.add_runner(
+        'i-1', 'engine', platform_runner.Script(events=4)
+    )
+    known = running.entry.endpoints.endpoints['i-1']
+    address = known.registration.address
+    running.register('i-1', 'engine', address, **_group(1, 'open'))
+    await running.until(lambda: known.registration.membership)
+    return runner, address
+
+
+def test_a_request_waits_for_a_group_that_forms(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        runner, address = await _add_rank(running)
+        runner.name = 'i-9'
+        callers = [
+            await curio.spawn(running.call, '/draft/', f'a{number}')
+            for number in range(3)
+        ]
+        queue = running.entry.queue('engine')
+        await running.until(lambda: len(queue.waiters) == 3)
+        running.register('i-9', 'engine', address, **_group(2, 'broken'))
+        await curio.sleep(0.1)
+        assert len(queue.waiters) == 3
+        running.register('i-9', 'engine', address, **_group(2, 'open'))
+        answers = [await caller.join() for caller in callers]
+        assert {one.status for one in answers} == {200}
+
+    bench.run(body)
+
+
+def test_an_endpoint_that_was_replaced_is_asked_no_more(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        runner = await running.add_runner('i-1', 'plain')
+        runner.name = 'i-9'
+        for number in range(4):
+            answer = await running.call('/book/', f'a{number}')
+            assert answer.status == 503
+        assert len(runner.arrivals) == 1
+
+    bench.run(body)
+
+
+def test_a_request_does_not_wait_for_a_group_that_stays_closed(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        _runner, address = await _add_rank(running)
+        running.register('i-1', 'engine', address, **_group(2, 'broken'))
+        known = running.entry.endpoints.endpoints['i-1']
+        known.known_s -= roster.FORMING_S
+        await running.until(lambda: roster.closed(known))
+        caller = await curio.spawn(running.call, '/draft/')
+        async with curio.timeout_after(0.5):
+            answer = await caller.join()
+        assert answer.status == 503
+
+    bench.run(body)
