--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -2,17 +2,19 @@
 
 An agent asks its own engine, which is free. Where an agent does not answer,
 the engine itself is called, so that a group is never left waiting for a VM.
+Orders to hold a group go through an entry, whose VM has no rank.
 """
 
 import http
 import logging
+import random
 
 import attrs
 import curio
 
 from camphorstair_agent.fleet import state
 from camphorstair_core.experts import group_orders, group_planner
-from camphorstair_core.fleet import roster
+from camphorstair_core.fleet import membership, roster
 from camphorstair_fleet import internal_messages
 from camphorstair_platform import engines, fields
 from camphorstair_runtime import clocks, http_client, http_messages
@@ -33,10 +35,12 @@
     """Calls to the ranks of one group.
 
     :ivar agent: The state of this agent.
+    :ivar generator: Source of random choices.
     :ivar silent: Until when an agent is passed over, by rank.
     """
 
     agent: state.FleetAgent
+    generator: random.Random = attrs.field(factory=random.SystemRandom)
     silent: dict[int, float] = attrs.field(factory=dict)
 
     async def states(self, ranks: Ranks, *, with_counts: bool) -> States:
@@ -72,18 +76,12 @@
             carry the order out all the same.
         """
         message = internal_messages.RankOrder(order, epoch, sets)
-        body = internal_messages.encode(message)
-        answer = await self._ask_agent(
-            order.rank, registration, internal_messages.ORDER_PATH, body
-        )
-        if answer is None:
-            request = engines.order_request(order, epoch, sets)
-            reply = await self._ask_engine(registration, request)
-            status = reply.status if reply else 0
+        entries = list(self.agent.members.values())
+        if order.kind is group_orders.OrderKind.hold and entries:
+            entry = self.generator.choice(entries)
+            status = await _relay(entry, registration.address, message)
         else:
-            status = internal_messages.decode(
-                answer, internal_messages.OrderOutcome
-            ).status
+            status = await self._give(message, registration)
         self.agent.meters.orders.add(
             1, {'kind': order.kind.value, 'status': status}
         )
@@ -95,11 +93,31 @@
                 'version': order.version,
                 'step': order.step,
                 'status': status,
-                'by_agent': answer is not None,
             },
         )
         return status
 
+    async def _give(
+        self,
+        message: internal_messages.RankOrder,
+        registration: roster.Registration,
+    ) -> int:
+        """Give an order through the rank's agent, or to the engine itself."""
+        order = message.order
+        answer = await self._ask_agent(
+            order.rank,
+            registration,
+            internal_messages.ORDER_PATH,
+            internal_messages.encode(message),
+        )
+        if answer is not None:
+            return internal_messages.decode(
+                answer, internal_messages.OrderOutcome
+            ).status
+        request = engines.order_request(order, message.epoch, message.sets)
+        reply = await self._ask_engine(registration, request)
+        return reply.status if reply else 0
+
     async def _state(
         self,
         rank: int,
@@ -153,6 +171,27 @@
         return await _fetch(registration.address, request, ENGINE_LIMIT_S)
 
 
+async def _relay(
+    entry: membership.Member,
+    engine: str,
+    message: internal_messages.RankOrder,
+) -> int:
+    """Have an entry give an order; return the status, or 0 if unknown."""
+    asked = internal_messages.RelayedOrder(engine, message)
+    request = http_messages.Request(
+        'POST',
+        internal_messages.RELAY_PATH,
+        [],
+        internal_messages.encode(asked),
+    )
+    answer = await _fetch(entry.internal_address, request, AGENT_LIMIT_S)
+    if answer is None or answer.status != http.HTTPStatus.OK:
+        return 0
+    return internal_messages.decode(
+        answer.body, internal_messages.OrderOutcome
+    ).status
+
+
 async def _fetch(
     address: str,
     request: http_messages.Request,
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -17,6 +17,7 @@
     joining,
     moving,
     receiving,
+    relaying,
     sensing,
     state,
 )
@@ -142,6 +143,9 @@
     await _listen(group, told.callers_address, process.callers)
     await _listen(group, told.ready_address, answers)
     await _listen(group, told.directory_address, answers)
+    relay = http_server.Server(relaying.Relay(process.entry).handle)
+    internal = f'{told.address}:{told.internal_port}'
+    await _listen(group, internal, relay)
 
 
 async def _listen(
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -10,6 +10,7 @@
 STATE_PATH = '/state'
 STATE_WITH_COUNTS_PATH = '/state/counts'
 ORDER_PATH = '/order'
+RELAY_PATH = '/relay'
 
 Message = typing.TypeVar('Message')
 
@@ -69,6 +70,18 @@
     sets: tuple[even_maps.Held, ...] = ()
 
 
+@attrs.frozen
+class RelayedOrder:
+    """The planner has an entry give a rank an order.
+
+    :ivar address: ``IP:port`` of the rank's engine.
+    :ivar order: The order.
+    """
+
+    address: str
+    order: RankOrder
+
+
 @attrs.frozen
 class OrderOutcome:
     """An agent tells what its rank answered; 0 if it did not answer."""
--- /dev/null
+++ b/tests/test_fleet_relaying.py
@@ -0,0 +1,108 @@
+"""Orders that planners give through an entry."""
+
+import types
+
+import curio
+import fleet_bench
+import pytest
+
+from camphorstair_core.experts import group_orders
+from camphorstair_fleet import internal_messages
+from camphorstair_runtime import http_client, http_messages, http_server
+from camphorstair_standins import loopback
+
+HOLD = internal_messages.RankOrder(
+    group_orders.Order(0, group_orders.OrderKind.hold, step=9), 2
+)
+GROUP = types.MappingProxyType(
+    {'Name': 'g', 'epoch': 2, 'rank': 0, 'State': 'open'}
+)
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+async def _relay(
+    running: fleet_bench.FleetBench,
+    engine: str,
+) -> http_messages.Response:
+    asked = internal_messages.RelayedOrder(engine, HOLD)
+    request = http_messages.Request(
+        'POST',
+        internal_messages.RELAY_PATH,
+        [],
+        internal_messages.encode(asked),
+    )
+    address = f'{running.told.address}:{running.told.internal_port}'
+    return await http_client.fetch(address, request)
+
+
+async def _add_engine(
+    running: fleet_bench.FleetBench,
+    handler: http_server.ResponderHandler,
+    **registered: object,
+) -> str:
+    address = loopback.free_address()
+    await running.listen(address, handler)
+    running.register('i-1', 'engine', address, **registered)
+    known = running.entry.endpoints.endpoints
+    await running.until(lambda: 'i-1' in known)
+    return address
+
+
+def test_an_order_reaches_the_engine(bench: fleet_bench.FleetBench) -> None:
+    orders: list[bytes] = []
+
+    async def engine(
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        orders.append(request.body)
+        await responder.respond(http_messages.Response(409, [], b'{}'))
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        address = await _add_engine(running, engine, group=dict(GROUP), size=1)
+        answer = await _relay(running, address)
+        found = internal_messages.decode(
+            answer.body, internal_messages.OrderOutcome
+        )
+        assert found.status == 409
+        assert orders == [b'{"Operation":"Hold","epoch":2,"step":9}']
+
+    bench.run(body)
+
+
+def test_an_engine_that_does_not_answer_is_told(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def engine(
+        _request: http_messages.Request,
+        _responder: http_server.Responder,
+    ) -> None:
+        await curio.Event().wait()
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        address = await _add_engine(running, engine, group=dict(GROUP), size=1)
+        answer = await _relay(running, address)
+        assert internal_messages.decode(
+            answer.body, internal_messages.OrderOutcome
+        ) == internal_messages.OrderOutcome(0)
+
+    bench.run(body)
+
+
+def test_what_is_no_rank_gets_no_order(bench: fleet_bench.FleetBench) -> None:
+    async def engine(
+        _request: http_messages.Request,
+        _responder: http_server.Responder,
+    ) -> None:
+        raise AssertionError('it got an order')
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        plain = await _add_engine(running, engine)
+        for address in (plain, '127.0.0.1:1'):
+            assert (await _relay(running, address)).status == 404
+
+    bench.run(body)
