--- a/packages/core/src/camphorstair_core/fleet/ejection.py
+++ b/packages/core/src/camphorstair_core/fleet/ejection.py
@@ -31,6 +31,14 @@
     return now_s < health.ejected_deadline_s
 
 
+def on_trial(health: Health) -> bool:
+    """Tell whether an endpoint was ejected and has not answered since.
+
+    It then gets one request of each entry at a time.
+    """
+    return health.ejections > 0
+
+
 def note_success(health: Health, began_s: float) -> None:
     """Note a whole answer.
 
--- a/packages/entry/src/camphorstair/fleet/directory.py
+++ b/packages/entry/src/camphorstair/fleet/directory.py
@@ -6,6 +6,7 @@
 
 from camphorstair.fleet import state
 from camphorstair_core.fleet import membership
+from camphorstair_fleet import internal_answers
 from camphorstair_platform import directory
 from camphorstair_runtime import http_messages, http_server
 
@@ -35,8 +36,7 @@
             return self._readiness()
         question = directory.question(request)
         if question is None:
-            body = {'error': f'no call {request.path}'}
-            return http_messages.json_response(http.HTTPStatus.NOT_FOUND, body)
+            return internal_answers.unknown_call(request)
         found = membership.addresses(self._named(), question.data_centre)
         if not found:
             body = {'error': 'no entry serves'}
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -71,12 +71,13 @@
 
         :raises errors.RequestError: if there is none, or none in time.
         """
-        self._check_service(service, waiter)
+        usable = self._usable(service)
+        self._check_service(service, waiter, usable)
         ticket = Ticket(waiter)
         queue = self.entry.queue(service)
         queue.waiters.append(waiter)
         self.tickets[waiter] = ticket
-        await self.advance(service)
+        await self._grant(service, usable)
         try:
             await ticket.decided.wait()
         finally:
@@ -108,20 +109,10 @@
     async def advance(self, service: str) -> None:
         """Give free endpoints of a service to those that wait."""
         queue = self.entry.queue(service)
-        now_s = clocks.monotonic_s()
-        for lost in waiting.given_up(queue, now_s):
+        for lost in waiting.given_up(queue, clocks.monotonic_s()):
             await self.tickets[lost].decided.set()
-        if not queue.waiters:
-            return
-        usable = self._usable(service)
-        for waiter in waiting.in_order(queue, now_s):
-            candidate = self._choose(service, usable, waiter, now_s)
-            if candidate is not None:
-                waiting.start(queue, waiter)
-                self._send_to(candidate, now_s)
-                ticket = self.tickets[waiter]
-                ticket.granted = candidate
-                await ticket.decided.set()
+        if queue.waiters:
+            await self._grant(service, self._usable(service))
 
     def refusal(
         self,
@@ -146,22 +137,47 @@
         There are none while no other rank has a place.
         """
         now_s = clocks.monotonic_s()
-        if not any(
-            self._admits(service, one, now_s) for one in self._usable(service)
-        ):
+        if not self._free(service, self._usable(service), now_s):
             return []
         return placement.slow_ranks(
             self._registered(service), placement.STALLING_FACTOR, now_s
         )
 
-    def _check_service(self, service: str, waiter: waiting.Waiter) -> None:
+    async def _grant(
+        self,
+        service: str,
+        usable: list[placement.Candidate],
+    ) -> None:
+        """Give free endpoints away, until none is free."""
+        queue = self.entry.queue(service)
+        now_s = clocks.monotonic_s()
+        free = self._free(service, usable, now_s)
+        # Under load most calls end here, so the order comes after it.
+        waiters = waiting.in_order(queue, now_s) if free else []
+        for waiter in waiters:
+            candidate = _choose(self.entry, free, waiter, now_s)
+            if candidate is not None:
+                waiting.start(queue, waiter)
+                self._send_to(candidate, now_s)
+                ticket = self.tickets[waiter]
+                ticket.granted = candidate
+                await ticket.decided.set()
+                free = self._free(service, free, now_s)
+            if not free:
+                return
+
+    def _check_service(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+        usable: list[placement.Candidate],
+    ) -> None:
         """Refuse at once what no endpoint can take for now."""
         queue = self.entry.queue(service)
         if len(queue.waiters) >= MOST_WAITING:
             raise self.refusal(
                 service, errors.overloaded, f'{MOST_WAITING} requests wait'
             )
-        usable = self._usable(service)
         names = {one.endpoint.registration.endpoint for one in usable}
         if names - waiter.excluded:
             return
@@ -197,25 +213,13 @@
         placement.share_places(found, entry.place(), entry.entries())
         return found
 
-    def _choose(
+    def _free(
         self,
         service: str,
-        usable: list[placement.Candidate],
-        waiter: waiting.Waiter,
+        candidates: list[placement.Candidate],
         now_s: float,
-    ) -> placement.Candidate | None:
-        free = [
-            one
-            for one in usable
-            if one.endpoint.registration.endpoint not in waiter.excluded
-            and self._admits(service, one, now_s)
-        ]
-        return placement.choose(
-            free,
-            self.entry.settings.data_centre,
-            now_s,
-            self.entry.generator,
-        )
+    ) -> list[placement.Candidate]:
+        return [one for one in candidates if self._admits(service, one, now_s)]
 
     def _admits(
         self,
@@ -225,6 +229,8 @@
     ) -> bool:
         if not placement.has_place(candidate, now_s):
             return False
+        if ejection.on_trial(candidate.health) and candidate.load.running:
+            return False
         if now_s >= candidate.endpoint.cold_deadline_s:
             return True
         name = candidate.endpoint.registration.endpoint
@@ -249,6 +255,22 @@
         )
 
 
+def _choose(
+    entry: state.FleetEntry,
+    free: list[placement.Candidate],
+    waiter: waiting.Waiter,
+    now_s: float,
+) -> placement.Candidate | None:
+    allowed = [
+        one
+        for one in free
+        if one.endpoint.registration.endpoint not in waiter.excluded
+    ]
+    return placement.choose(
+        allowed, entry.settings.data_centre, now_s, entry.generator
+    )
+
+
 def _is_closed(candidate: placement.Candidate, now_s: float) -> bool:
     return roster.closed(candidate.endpoint) or (
         placement.reported_closed(candidate.load, now_s)
--- a/packages/entry/src/camphorstair/fleet/relaying.py
+++ b/packages/entry/src/camphorstair/fleet/relaying.py
@@ -12,7 +12,7 @@
 import curio
 
 from camphorstair.fleet import state
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import internal_answers, internal_messages
 from camphorstair_platform import engines
 from camphorstair_runtime import http_client, http_messages, http_server
 
@@ -39,8 +39,8 @@
         try:
             answer = await self._answer(request)
         except internal_messages.MessageError as error:
-            answer = http_messages.json_response(
-                http.HTTPStatus.BAD_REQUEST, {'error': str(error)}
+            answer = internal_answers.failure(
+                http.HTTPStatus.BAD_REQUEST, error
             )
         await responder.respond(answer)
 
@@ -48,20 +48,18 @@
         self,
         request: http_messages.Request,
     ) -> http_messages.Response:
+        if request.path != internal_messages.RELAY_PATH:
+            return internal_answers.unknown_call(request)
         asked = internal_messages.decode(
             request.body, internal_messages.RelayedOrder
         )
-        if request.path != internal_messages.RELAY_PATH or not (
-            self._is_rank(asked.address)
-        ):
-            body = {'error': f'no rank at {asked.address}'}
-            return http_messages.json_response(http.HTTPStatus.NOT_FOUND, body)
+        if not self._is_rank(asked.address):
+            fault = internal_messages.MessageError(
+                f'no rank at {asked.address}'
+            )
+            return internal_answers.failure(http.HTTPStatus.NOT_FOUND, fault)
         status = await _give(asked)
-        return http_messages.Response(
-            http.HTTPStatus.OK,
-            [('content-type', 'application/msgpack')],
-            internal_messages.encode(internal_messages.OrderOutcome(status)),
-        )
+        return internal_answers.whole(internal_messages.OrderOutcome(status))
 
     def _is_rank(self, address: str) -> bool:
         return any(
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -192,6 +192,26 @@
     assert (chosen is slow) is slow_is_chosen
 
 
+@pytest.mark.parametrize(('slow', 'left_out'), [(1, 1), (2, 2), (3, 0), (4, 0)])
+def test_slow_ranks_are_left_out_unless_most_are_slow(
+    slow: int,
+    left_out: int,
+) -> None:
+    candidates = [
+        _candidate(
+            f'i-{rank}',
+            membership=roster.GroupMembership('g', 1, rank, 4, is_open=True),
+        )
+        for rank in range(4)
+    ]
+    for rank, one in enumerate(candidates):
+        placement.note_report(one.load, running=1, waiting=0, now_s=1)
+        one.load.pace = 3 if rank < slow else 1
+    found = placement.slow_ranks(candidates, placement.SLOW_FACTOR, 1.1)
+    assert len(found) == left_out
+    assert not placement.slow_ranks(candidates, placement.SLOW_FACTOR, 9)
+
+
 def test_what_was_sent_since_a_report_counts_on_top() -> None:
     load = placement.Load(running=2)
     placement.note_report(load, running=5, waiting=0, now_s=1)
--- a/tests/test_fleet_ejection.py
+++ b/tests/test_fleet_ejection.py
@@ -4,9 +4,9 @@
 import fleet_bench
 import pytest
 
-from camphorstair_standins import platform_runner
+from camphorstair_platform_standins import scripted
 
-Script = platform_runner.Script
+Script = scripted.Script
 CALLS = 8
 
 
@@ -65,6 +65,28 @@
     bench.run(body)
 
 
+def test_an_endpoint_that_was_ejected_comes_back_with_one_request(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        runner = await running.add_runner('i-1', 'plain', Script(delay_s=0.2))
+        await running.call('/look/')
+        health = running.entry.candidates['i-1'].health
+        health.ejections = 1
+        callers = [
+            await curio.spawn(running.call, '/look/', f'b{number}')
+            for number in range(2)
+        ]
+        await running.until(lambda: len(runner.arrivals) > 1)
+        queue = running.entry.queue('plain')
+        assert len(queue.waiters) == 1
+        statuses = [(await one.join()).status for one in callers]
+        assert statuses == [200, 200]
+        assert not health.ejections
+
+    bench.run(body)
+
+
 def test_an_endpoint_that_stops_at_the_deadline_is_not_ejected(
     bench: fleet_bench.FleetBench,
 ) -> None:
