--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -6,7 +6,7 @@
 import attrs
 
 from camphorstair_agent.fleet import engine_calls
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import internal_answers, internal_messages
 from camphorstair_platform import engines, fields
 from camphorstair_runtime import http_client, http_messages, http_server
 
@@ -34,9 +34,13 @@
         try:
             answer = await self._answer(request)
         except (http_client.HttpError, fields.FormatError) as error:
-            answer = _failure(http.HTTPStatus.BAD_GATEWAY, error)
+            answer = internal_answers.failure(
+                http.HTTPStatus.BAD_GATEWAY, error
+            )
         except internal_messages.MessageError as fault:
-            answer = _failure(http.HTTPStatus.BAD_REQUEST, fault)
+            answer = internal_answers.failure(
+                http.HTTPStatus.BAD_REQUEST, fault
+            )
         await responder.respond(answer)
 
     async def _answer(
@@ -44,14 +48,12 @@
         request: http_messages.Request,
     ) -> http_messages.Response:
         if request.path == internal_messages.ORDER_PATH:
-            return _message(await self._order(request.body))
+            return internal_answers.whole(await self._order(request.body))
         if request.path == internal_messages.STATE_PATH:
-            return _message(await self._state())
+            return internal_answers.whole(await self._state())
         if request.path == internal_messages.STATE_WITH_COUNTS_PATH:
-            return _message(await self._state_with_counts())
-        return http_messages.json_response(
-            http.HTTPStatus.NOT_FOUND, {'error': f'no call {request.path}'}
-        )
+            return internal_answers.whole(await self._state_with_counts())
+        return internal_answers.unknown_call(request)
 
     async def _state(
         self,
@@ -83,13 +85,3 @@
             _LOG.warning('order %s: %s', found.order.kind.value, error)
             return internal_messages.OrderOutcome(0)
         return internal_messages.OrderOutcome(answer.status)
-
-
-def _message(message: object) -> http_messages.Response:
-    headers = [('content-type', 'application/msgpack')]
-    content = internal_messages.encode(message)
-    return http_messages.Response(http.HTTPStatus.OK, headers, content)
-
-
-def _failure(status: int, error: Exception) -> http_messages.Response:
-    return http_messages.json_response(status, {'error': str(error)})
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,10 +7,10 @@
 import attrs
 import curio
 
+from camphorstair_platform_standins import documents, exchange_headers
 from camphorstair_runtime import http_client, http_messages
 from soak import witness
 
-HOST = 'soak.example'
 ROUTES = ('draft', 'book', 'look')
 LIMIT_S = 4.0
 PAUSE_S = 0.05
@@ -85,13 +85,9 @@
         exchange: http_client.Exchange,
         call: witness.Call,
     ) -> None:
-        headers = [
-            ('x-camphorstair-attempt-id', call.attempt),
-            ('x-camphorstair-deadline-ms', str(round(LIMIT_S * 1000))),
-            ('authorization', f'Token {self.key}'),
-        ]
+        headers = exchange_headers.request(call.attempt, self.key, LIMIT_S)
         request = http_messages.Request('POST', f'/{call.route}/', headers, b'')
-        await http_client.send(exchange, HOST, request)
+        await http_client.send(exchange, documents.HOST, request)
         await http_client.read_head(exchange, request)
         call.body = await exchange.read_all()
         call.status = exchange.status
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -7,12 +7,12 @@
 import attrs
 import curio
 
+from camphorstair_platform_standins import exchange_headers
 from camphorstair_runtime import http_messages, http_server
 from soak import witness
 
 EVENT_GAP_S = 0.03
 WORK_S = 0.05
-_ATTEMPT = 'x-camphorstair-attempt-id'
 
 
 @attrs.define(eq=False)
@@ -34,9 +34,9 @@
         responder: http_server.Responder,
     ) -> None:
         """Run one request until its caller leaves."""
-        attempt = request.header(_ATTEMPT)
-        headers = [(_ATTEMPT, attempt), ('x-camphorstair-server-seal', 's')]
-        expected = request.header('x-camphorstair-expect-instance')
+        attempt = request.header(exchange_headers.ATTEMPT)
+        headers = exchange_headers.sealed(attempt)
+        expected = request.header(exchange_headers.EXPECTED_ENDPOINT)
         if expected != self.name:
             status = http.HTTPStatus.MISDIRECTED_REQUEST
             answer = http_messages.Response(status, headers[:1], b'')
@@ -51,7 +51,7 @@
                 )
             )
             return
-        first = int(request.header('last-event-id') or 0) + 1
+        first = int(request.header(exchange_headers.LAST_EVENT) or 0) + 1
         await responder.start(http.HTTPStatus.OK, headers)
         for event in witness.events(attempt, first):
             await responder.send(event)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,10 @@
 import attrs
 import curio
 
+from camphorstair_platform_standins import documents
 from soak import fleet, proxy, schedule, witness
 
-STOP_LIMIT_S = fleet.GRACE_S + 2
+STOP_LIMIT_S = documents.GRACE_S + 2
 
 _ENDPOINT_MODES = types.MappingProxyType(
     {
@@ -139,7 +140,7 @@
         running.seen.drained_s[name] = running.elapsed_s()
         running.register(name, 'draining')
         await curio.sleep(2 * witness.DRAIN_S)
-        running.store.remove(f'servers/{name}')
+        running.store.remove(documents.registration_key(name))
         running.ways.pop(name)
 
     async def _configure(self, fault: schedule.Fault) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,18 +2,15 @@
 
 import contextlib
 import http
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import time
 
 import attrs
 import curio
-import msgspec
 
-from camphorstair_platform import boot
+from camphorstair_platform_standins import documents, processes, stores
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -21,12 +18,16 @@
     listening,
     settings,
 )
-from camphorstair_standins import loopback, platform_store
-from soak import callers, endpoints, proxy, witness
+from camphorstair_standins import loopback
+from soak import endpoints, proxy, witness
 
 SERVICE = 'plain'
-DATA_CENTRE = 'levis-nord'
-GRACE_S = 8.0
+SLOTS = 8
+ROUTES = (
+    ('draft', 'streaming'),
+    ('book', 'non_idempotent'),
+    ('look', 'idempotent'),
+)
 RESTART_S = 0.3
 # A process has imported its modules and handles signals after this time.
 START_LIMIT_S = 2.0
@@ -58,12 +59,7 @@
         """Start the process."""
         self.stopping = False
         self.started_s = time.monotonic()
-        self.process = subprocess.Popen(
-            [sys.executable, '-m', 'camphorstair.fleet.serving'],
-            env={**os.environ, boot.PATH_VARIABLE: str(self.settings_path)},
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-        )
+        self.process = processes.start_entry(self.settings_path)
 
     def starting(self) -> bool:
         """Tell whether the process may not handle signals yet."""
@@ -106,8 +102,8 @@
     group: curio.TaskGroup
     seen: witness.Witness
     began_s: float = attrs.field(factory=time.monotonic)
-    store: platform_store.PlatformStore = attrs.field(
-        factory=platform_store.PlatformStore,
+    store: stores.PlatformStore = attrs.field(
+        factory=stores.PlatformStore,
     )
     store_address: str = attrs.field(factory=loopback.free_address)
     entries: list[Entry] = attrs.field(factory=list)
@@ -156,20 +152,16 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
-        raw = {
-            'Version': self.version,
-            'Routes': [
-                _route('draft', 'streaming'),
-                _route('book', 'non_idempotent'),
-                _route('look', 'idempotent'),
-            ],
-            'Services': [{'Name': SERVICE, 'MaxConnections': 200}],
-            'Tenants': [
-                {'Name': f'org-{key}', 'ApiKeys': [key]}
+        content = documents.configuration(
+            self.version,
+            [documents.route(name, kind, SERVICE) for name, kind in ROUTES],
+            [documents.service(SERVICE)],
+            [
+                documents.organisation(f'org-{key}', key)
                 for key in sorted(self.keys)
             ],
-        }
-        self.store.put('op/config', msgspec.json.encode(raw))
+        )
+        self.store.put(documents.CONFIGURATION_KEY, content)
 
     async def add_endpoint(self) -> str:
         """Start an endpoint and register it."""
@@ -186,16 +178,10 @@
 
     def register(self, name: str, state: str) -> None:
         """Write an endpoint's registration."""
-        raw = {
-            'Service': SERVICE,
-            'Address': self.ways[name].address,
-            'Zone': DATA_CENTRE,
-            'Slots': 8,
-            'State': state,
-            'ColdRemainingMs': 0,
-            'Sequence': 1,
-        }
-        self.store.put(f'servers/{name}', msgspec.json.encode(raw))
+        content = documents.registration(
+            SERVICE, self.ways[name].address, Slots=SLOTS, State=state
+        )
+        self.store.put(documents.registration_key(name), content)
 
     async def _keep(self) -> None:
         """Start processes that ended by themselves anew, as the platform does."""
@@ -218,32 +204,13 @@
         host = f'127.0.0.{number + 2}'
         way = proxy.Proxy(loopback.free_address(), self.store_address)
         await self.group.spawn(way.run)
-        ports = [_port() for _ in range(4)]
-        raw = {
-            'NodeName': f'front-{number}',
-            'Ip': host,
-            'Zone': DATA_CENTRE,
-            'Region': 'qc-est',
-            'Listen': {
-                'Front': f'{host}:{ports[0]}',
-                'Ready': f'{host}:{ports[1]}',
-                'Directory': f'{host}:{ports[2]}',
-            },
-            'InternalPorts': [ports[3], 0],
-            'Bounds': {
-                'RevokeMs': witness.REVOKE_S * 1000,
-                'RetryBudgetRatio': 0.2,
-                'RetryWindowS': 10,
-                'RetrySlack': 88,
-                'ColdOver': 1.5,
-                'ColdSlack': 5,
-                'GraceS': GRACE_S,
-            },
-            'Platform': {'Address': way.address, 'TtlMinMs': 1000},
-        }
+        ports = (_port(), _port(), _port(), _port())
         path = self.directory / f'front-{number}.json'
-        path.write_bytes(msgspec.json.encode(raw))
-        return Entry(f'{host}:{ports[0]}', f'{host}:{ports[1]}', path, way)
+        path.write_bytes(
+            documents.boot_settings(way.address, f'front-{number}', host, ports)
+        )
+        callers, ready = (f'{host}:{port}' for port in ports[:2])
+        return Entry(callers, ready, path, way)
 
     async def _listen(
         self,
@@ -257,18 +224,3 @@
 
 def _port() -> int:
     return settings.split_address(loopback.free_address())[1]
-
-
-def _route(name: str, kind: str) -> dict[str, object]:
-    return {
-        'Name': name,
-        'Host': callers.HOST,
-        'Prefix': f'/{name}/',
-        'RouteKind': kind,
-        'TimeoutMs': 3000,
-        'TargetLatencyMs': 400,
-        'Priority': 1,
-        'Service': SERVICE,
-        'MaxAttempts': 2,
-        'Resumable': kind == 'streaming',
-    }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -8,6 +8,9 @@
 MEAN_GAP_S = 1.2
 SHORTEST_S = 0.2
 LONGEST_S = 3.0
+# Every third seed draws planned work only: what may not be disturbed by it shows
+# best where nothing else is wrong.
+PLANNED_EACH = 3
 # After the last fault everything has to work again.
 QUIET_END_S = 8.0
 
@@ -65,12 +68,13 @@
     :param targets: Number of entries, and of endpoints.
     """
     generator = random.Random(seed)
+    kinds = sorted(PLANNED) if seed % PLANNED_EACH == 0 else list(Kind)
     found = []
     at_s = 1 + generator.expovariate(1 / MEAN_GAP_S)
     while at_s < duration_s - QUIET_END_S:
         found.append(
             Fault(
-                generator.choice(list(Kind)),
+                generator.choice(kinds),
                 at_s,
                 at_s + generator.uniform(SHORTEST_S, LONGEST_S),
                 generator.randrange(targets),
--- a/soak/witness.py
+++ b/soak/witness.py
@@ -4,8 +4,10 @@
 
 import attrs
 
+from camphorstair_platform_standins import documents
+
 EVENTS = 12
-REVOKE_S = 5.0
+REVOKE_S = documents.REVOKE_S
 DRAIN_S = 2.0
 # Faults this long before may still have their effect.
 AFTERMATH_S = 3.0
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -1,14 +1,26 @@
 """An agent of the fleet against a stand-in engine, by sockets."""
 
+import functools
 import time
 from collections import abc
 
+import attrs
 import curio
+import fleet_bench
 import pytest
-
-from camphorstair_agent.fleet import engine_calls, rank_calls, ranks
+from opentelemetry import metrics as metrics_api
+
+from camphorstair_agent.fleet import (
+    engine_calls,
+    instruments,
+    rank_calls,
+    ranks,
+    state,
+)
 from camphorstair_core.experts import group_orders
-from camphorstair_fleet import internal_messages
+from camphorstair_core.fleet import membership, roster
+from camphorstair_fleet import internal_answers, internal_messages
+from camphorstair_platform import boot
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -106,3 +118,89 @@
         assert answer.status == 400
 
     curio.run(_with_agent, body)
+
+
+class _Ranks:
+    """What was asked of an entry, and of an agent and its engine."""
+
+    def __init__(self) -> None:
+        """Start with nothing asked."""
+        self.asked: list[str] = []
+        self.entry = loopback.free_address()
+        self.engine = f'{loopback.HOST}:{_port()}'
+        self.internal_port = _port()
+
+    async def answer(
+        self,
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Note the call and carry it out."""
+        self.asked.append(request.path)
+        outcome = internal_messages.OrderOutcome(200)
+        await responder.respond(internal_answers.whole(outcome))
+
+
+def _port() -> int:
+    return settings.split_address(loopback.free_address())[1]
+
+
+def _registration(engine: str) -> roster.Registration:
+    return roster.Registration(
+        'i-1',
+        'engine',
+        engine,
+        'levis-nord',
+        roster.EndpointState.ready,
+        6,
+        0,
+        0,
+        roster.GroupMembership('g', 2, 0, 1, is_open=True),
+    )
+
+
+async def _order(kind: group_orders.OrderKind, *, entries: bool) -> list[str]:
+    """Give an order; return the calls that it made."""
+    ranks_asked = _Ranks()
+    told = boot.decode(fleet_bench.boot_settings(loopback.free_address()))
+    told = attrs.evolve(told, internal_port=ranks_asked.internal_port)
+    meter = metrics_api.NoOpMeter('test')
+    agent = state.FleetAgent(told, instruments.create(meter))
+    if entries:
+        agent.members['front-1'] = membership.Member(
+            'front-1', 'levis-nord', '', ranks_asked.entry
+        )
+    calls = rank_calls.RankCalls(agent)
+    async with curio.TaskGroup(wait=any) as group:
+        own = f'{loopback.HOST}:{ranks_asked.internal_port}'
+        for address in (ranks_asked.entry, own):
+            host, port = settings.split_address(address)
+            server = http_server.Server(ranks_asked.answer)
+            await group.spawn(listening.serve, host, port, server.serve)
+        await curio.sleep(0.02)
+        status = await calls.order(
+            group_orders.Order(0, kind, step=9),
+            _registration(ranks_asked.engine),
+            2,
+            (),
+        )
+        await group.cancel_remaining()
+    assert status == 200
+    return ranks_asked.asked
+
+
+@pytest.mark.parametrize(
+    ('kind', 'entries', 'path'),
+    [
+        (group_orders.OrderKind.hold, True, internal_messages.RELAY_PATH),
+        (group_orders.OrderKind.hold, False, internal_messages.ORDER_PATH),
+        (group_orders.OrderKind.go, True, internal_messages.ORDER_PATH),
+    ],
+)
+def test_a_group_is_held_through_an_entry_if_there_is_one(
+    kind: group_orders.OrderKind,
+    path: str,
+    *,
+    entries: bool,
+) -> None:
+    assert curio.run(functools.partial(_order, kind, entries=entries)) == [path]
--- /dev/null
+++ b/tests/test_fleet_following.py
@@ -0,0 +1,125 @@
+"""What an entry does as the store says: keys, endpoints, data centres."""
+
+import fleet_bench
+import pytest
+
+from camphorstair_platform import store
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+def test_a_removed_key_is_refused_as_soon_as_the_store_says_so(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        assert (await running.call('/look/')).status == 200
+        running.configure(2, Tenants=[])
+        await running.until(lambda: running.entry.configuration.version == 2)
+        assert (await running.call('/look/')).status == 401
+
+    bench.run(body)
+
+
+def test_an_older_configuration_is_never_taken_over(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        running.configure(7)
+        await running.until(lambda: running.entry.configuration.version == 7)
+        running.configure(6)
+        running.store.put('servers/later', b'{}')
+        await running.call('/absent/')
+        running.store.faults.forgets = True
+        await running.until(lambda: 'range' in running.store.calls[3:])
+        running.store.faults.forgets = False
+        assert running.entry.configuration.version == 7
+
+    bench.run(body)
+
+
+def test_an_unusable_value_leaves_the_rest_in_force(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        running.store.put('op/config', b'{"Version": 9, "Routes": 3}')
+        running.store.put('servers/i-2', b'\xff\x00')
+        running.store.put('servers/i-3', b'{"State": "dancing"}')
+        running.register('i-4', 'plain', '127.0.0.1:1')
+        known = running.entry.endpoints.endpoints
+        await running.until(lambda: 'i-4' in known)
+        assert running.entry.configuration.version == 1
+        assert set(known) == {'i-1', 'i-4'}
+
+    bench.run(body)
+
+
+def test_a_leaving_endpoint_gets_nothing_more(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        runner = await running.add_runner('i-1', 'plain')
+        known = running.entry.endpoints.endpoints
+        address = known['i-1'].registration.address
+        running.register('i-1', 'plain', address, State='draining')
+        await running.until(
+            lambda: known['i-1'].registration.state.value == 'draining',
+        )
+        assert (await running.call('/look/')).status == 503
+        assert not runner.arrivals
+
+    bench.run(body)
+
+
+def test_a_data_centre_that_is_out_gets_nothing(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        running.store.put('op/evacuate/levis-nord', b'{}')
+        await running.until(lambda: running.entry.endpoints.out)
+        assert (await running.call('/look/')).status == 503
+        running.store.remove('op/evacuate/levis-nord')
+        await running.until(lambda: not running.entry.endpoints.out)
+        assert (await running.call('/look/')).status == 200
+
+    bench.run(body)
+
+
+def test_keys_are_refused_once_the_configuration_is_too_old(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_runner('i-1', 'plain')
+        running.store.faults.refuses = True
+        await running.until(lambda: running.entry.known.lost_s is not None)
+        assert (await running.call('/look/')).status == 200
+        running.entry.known.proven_s -= 5
+        answer = await running.call('/look/')
+        assert answer.status == 503
+        assert b'confirmed' in answer.body
+        running.store.faults.refuses = False
+        await running.until(lambda: running.entry.known.lost_s is None)
+        assert (await running.call('/look/')).status == 200
+
+    bench.run(body)
+
+
+def test_a_lost_answer_of_the_store_ends_the_call(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        client = store.StoreClient(running.told.store.address)
+        running.store.faults.loses_answers = True
+        with pytest.raises(store.StoreError) as raised:
+            await client.grant(2)
+        assert raised.value.done
+        running.store.faults.loses_answers = False
+        assert await client.grant(2)
+        await client.close()
+
+    bench.run(body)
