Reach the ranks of a group by datagrams and hold it further ahead

Cause: a switch of the expert map held the whole group while the planner read and ordered every rank by HTTP, twice. On the small twin (20 ranks) each of the nine switches paused all streams for over 150 ms: 117 of 487 drafts late. Change: states, arm and go are datagrams, sent again twice; counts are passed on as increases, added up by the agents of a few ranks, and a map is passed on by them; the held step is as far ahead as the last switches took; planning yields between its steps. An agent's counts may not take the process down by a list of another shape.

--- a/packages/agent/src/camphorstair_agent/fleet/leading.py
+++ b/packages/agent/src/camphorstair_agent/fleet/leading.py
@@ -1,9 +1,10 @@
-"""Plans expert maps for a rank group and switches the group to them.
+"""Switches a rank group to new expert maps.
 
 Each engine of the group is a rank; a map assigns experts to the ranks. All
 of this happens only while this agent has the planner lease of the group. For
 a switch the group itself is held: it does not begin a given step until the
-hold is released.
+hold is released. The held step is so far ahead that the hold is normally
+released before the group gets there, so that no stream pauses.
 """
 
 import logging
@@ -11,17 +12,22 @@
 import attrs
 import curio
 
-from camphorstair_agent.fleet import rank_calls, state
-from camphorstair_core.experts import group_orders, group_planner
+from camphorstair_agent.fleet import (
+    map_planning,
+    rank_calls,
+    spread_calls,
+    state,
+)
+from camphorstair_core.experts import group_orders, step_margins
 from camphorstair_core.fleet import roster
 from camphorstair_fleet import leasing
 from camphorstair_runtime import clocks
 
+# Time between rounds while no map is being switched.
 IDLE_INTERVAL_S = 0.12
+IDLE_INTERVAL_PER_RANK_S = 0.004
 PREPARE_INTERVAL_S = 0.05
 ORDER_INTERVAL_S = 0.01
-# A rank that has not prepared a map after this time is sent the order again.
-PREPARE_LIMIT_S = 2.0
 # Time after an order without a response during which orders count as
 # unreliable, so that the group is held further ahead.
 UNRELIABLE_ORDERS_S = 10.0
@@ -29,62 +35,34 @@
 _LOG = logging.getLogger(__name__)
 
 
-@attrs.define
-class _MapPlan:
-    """An expert map of the group.
-
-    :ivar version: Version number of the map.
-    :ivar sets: The experts of each rank, by set.
-    :ivar prepare_sent_s: When each rank was sent the order to prepare the map;
-        monotonic clock.
-    """
-
-    version: int
-    sets: group_planner.Sets
-    prepare_sent_s: dict[int, float] = attrs.field(factory=dict)
-
-    def should_send(self, order: group_orders.Order, now_s: float) -> bool:
-        """Return whether to send an order now.
-
-        An order to prepare is not repeated within ``PREPARE_LIMIT_S``, as the
-        rank may still be copying experts.
-        """
-        if order.kind is not group_orders.OrderKind.prepare:
-            return True
-        prepare_sent_s = self.prepare_sent_s.get(order.rank)
-        return (
-            prepare_sent_s is None or now_s >= prepare_sent_s + PREPARE_LIMIT_S
-        )
-
-
 @attrs.define(eq=False)
 class Leader:
     """Runs the planner of a group.
 
     :ivar agent: The agent's state.
-    :ivar calls: Client of the ranks of the group.
+    :ivar calls: Client of the single ranks of the group.
+    :ivar spread: Client of all ranks of the group for large messages.
     :ivar leadership: The planner lease.
     :ivar membership: The group and rank of the engine on this VM.
-    :ivar planner: Estimates the experts' loads and computes new maps.
+    :ivar maps: Plans new maps.
     :ivar current: The map that the group is being switched to, if any.
-    :ivar in_use: The map last known to be in use, if any.
     :ivar held: The holds that the last round saw.
-    :ivar epoch: Number of the group formation that ``current`` is for.
-    :ivar planned: Number of maps planned under this lease.
+    :ivar hold_sent_s: When the last order to hold was sent; monotonic clock.
+    :ivar pace: How fast the group makes steps and how long switches take.
     :ivar unreliable_deadline_s: Until when orders count as unreliable;
         monotonic clock.
     """
 
     agent: state.FleetAgent
     calls: rank_calls.RankCalls
+    spread: spread_calls.SpreadCalls
     leadership: leasing.Leadership
     membership: roster.GroupMembership
-    planner: group_planner.GroupPlanner
-    current: _MapPlan | None = None
-    in_use: _MapPlan | None = None
+    maps: map_planning.MapPlanner
+    current: map_planning.MapPlan | None = None
     held: group_orders.Holds = frozenset()
-    epoch: int = 0
-    planned: int = 0
+    hold_sent_s: float = 0
+    pace: step_margins.GroupPace = attrs.field(factory=step_margins.GroupPace)
     unreliable_deadline_s: float = 0
 
     async def run(self) -> None:
@@ -94,7 +72,7 @@
         """
         while self.leadership.held():
             ranks = self.agent.group_members(self.membership.group)
-            interval_s = IDLE_INTERVAL_S
+            interval_s = self._idle_interval_s()
             if len(ranks) == self.membership.size:
                 interval_s = await self._run_round(ranks)
             await curio.sleep(interval_s)
@@ -104,122 +82,36 @@
 
         :returns: The time until the next round, in seconds.
         """
-        idle = self.current is None
-        states = await self.calls.states(ranks, with_counts=idle)
+        states = await self.calls.states(ranks)
         if len(states) < len(ranks):
-            return IDLE_INTERVAL_S
-        reports = {
-            rank: rank_state.report for rank, rank_state in states.items()
-        }
-        self._discard_outdated_plan(reports)
-        orders = self._next_orders(reports, states)
-        await self._send_orders(orders, ranks)
-        self._finish_switch(reports)
-        if self.current is None and not self.held:
-            return IDLE_INTERVAL_S
-        kinds = {order.kind for order in orders}
-        if group_orders.OrderKind.prepare in kinds:
-            return PREPARE_INTERVAL_S
-        return ORDER_INTERVAL_S
-
-    def _next_orders(
-        self,
-        reports: group_orders.Reports,
-        states: rank_calls.States,
-    ) -> list[group_orders.Order]:
-        """Return the orders that are due; plan a new map if there is none.
-
-        While the group is held, only the orders that let it continue are due,
-        and no map is planned.
-        """
+            return self._idle_interval_s()
+        reports = _reports(states)
+        self._record_progress(reports)
         held_before = self.held
         self.held = group_orders.holds(reports)
         if self.held:
-            return group_orders.orders_while_held(
-                reports, self.membership.size, held_before
-            )
+            await self._continue_held_group(states, ranks, held_before)
+            return ORDER_INTERVAL_S
         if self.current is None:
-            self._plan_map(states)
+            self.current = await self.maps.plan(ranks, states)
         if self.current is None:
-            return []
-        return group_orders.orders_before_hold(
-            reports,
-            self.membership.size,
-            self.current.version,
-            # The hold is at another VM, which releases it if this one fails.
-            (self.membership.rank + 1) % self.membership.size,
-            self._step_margin(),
-        )
+            return self._idle_interval_s()
+        return await self._advance_switch(reports, ranks)
 
-    def _step_margin(self) -> int:
-        """Return how many steps ahead the group is held."""
-        if clocks.monotonic_s() < self.unreliable_deadline_s:
-            return group_orders.CAUTIOUS_STEP_MARGIN
-        return group_orders.STEP_MARGIN
+    def _idle_interval_s(self) -> float:
+        """Return the time between rounds, longer for the more ranks to read."""
+        return max(
+            IDLE_INTERVAL_S, IDLE_INTERVAL_PER_RANK_S * self.membership.size
+        )
 
-    def _discard_outdated_plan(self, reports: group_orders.Reports) -> None:
-        """Discard a plan made for an earlier formation of the group."""
+    def _record_progress(self, reports: group_orders.Reports) -> None:
+        """Note the group's pace; end or discard the current switch."""
         epoch = max(report.epoch for report in reports.values())
-        if epoch != self.epoch:
-            self.epoch = epoch
+        if epoch != self.maps.epoch:
+            self.maps.epoch = epoch
             self.current = None
-
-    def _plan_map(self, states: rank_calls.States) -> None:
-        """Plan a new map if the map in use is known and the gain is enough."""
-        counts = {
-            rank: rank_state.counts
-            for rank, rank_state in states.items()
-            if rank_state.counts
-        }
-        sets = self._sets_in_use(states)
-        if not counts or sets is None:
-            return
-        self.planner.note(counts)
-        paces = [states[rank].pace for rank in sorted(states)]
-        planned_sets = self.planner.plan(sets, paces)
-        if planned_sets is None:
-            return
-        self.planned += 1
-        version = group_orders.version_number(
-            self.leadership.revision, self.planned
-        )
-        self.current = _MapPlan(version, planned_sets)
-        skew = self.planner.skew(sets, paces)
-        self.agent.meters.skew.record(skew)
-        _LOG.info(
-            'new expert map planned',
-            extra={
-                'version': version,
-                'skew': round(skew, 3),
-                'expected': round(self.planner.skew(planned_sets, paces), 3),
-                'slowest_pace': max(paces),
-            },
-        )
-
-    def _sets_in_use(
-        self, states: rank_calls.States
-    ) -> group_planner.Sets | None:
-        """Return the map in use, or None if it is not known.
-
-        It is not known while the ranks report different versions, or until all
-        ranks have reported their experts.
-        """
-        versions = {rank_state.report.version for rank_state in states.values()}
-        if len(versions) > 1:
-            return None
-        version = versions.pop()
-        if all(rank_state.experts for rank_state in states.values()):
-            sets = tuple(
-                tuple(states[rank].experts[index] for rank in sorted(states))
-                for index in range(len(states[min(states)].experts))
-            )
-            self.in_use = _MapPlan(version, sets)
-        if self.in_use is None or self.in_use.version != version:
-            return None
-        return self.in_use.sets
-
-    def _finish_switch(self, reports: group_orders.Reports) -> None:
-        """Finish the current plan when every rank uses its version."""
+        step = max(report.step for report in reports.values())
+        step_margins.record_step(self.pace, step, clocks.monotonic_s())
         current = self.current
         if current and all(
             report.version == current.version for report in reports.values()
@@ -228,45 +120,110 @@
                 'switch to the new expert map completed',
                 extra={'version': current.version},
             )
-            self.in_use = current
+            self.maps.in_use = current
             self.current = None
 
-    async def _send_orders(
+    async def _continue_held_group(
         self,
-        orders: list[group_orders.Order],
+        states: rank_calls.States,
         ranks: rank_calls.Ranks,
+        held_before: group_orders.Holds,
     ) -> None:
-        """Send orders to the ranks concurrently."""
-        now_s = clocks.monotonic_s()
-        async with curio.TaskGroup() as group:
-            for order in orders:
-                if self.current is None or self.current.should_send(
-                    order, now_s
-                ):
-                    await group.spawn(
-                        self._send_order, order, ranks[order.rank]
-                    )
+        """Send the orders that let a held group continue.
+
+        Ranks report their state after an order, so the hold is released
+        without another round if all of them confirm that they are armed.
+        """
+        reports = _reports(states)
+        orders = group_orders.orders_while_held(
+            reports, self.membership.size, held_before
+        )
+        after = await self._send_orders(orders, ranks)
+        armed = orders and orders[0].kind is group_orders.OrderKind.arm
+        if armed and len(after) == len(orders):
+            reports.update(_reports(after))
+            orders = group_orders.orders_while_held(
+                reports, self.membership.size, held_before
+            )
+            await self._send_orders(orders, ranks)
+        if any(order.kind is group_orders.OrderKind.go for order in orders):
+            step_margins.record_switch(
+                self.pace, self.hold_sent_s, clocks.monotonic_s()
+            )
 
-    async def _send_order(
+    async def _advance_switch(
         self,
-        order: group_orders.Order,
-        registration: roster.Registration,
-    ) -> None:
-        """Send an order, if the lease is still held.
+        reports: group_orders.Reports,
+        ranks: rank_calls.Ranks,
+    ) -> float:
+        """Send the orders of the current switch that are due before its hold.
 
-        An order without a response starts the time in which orders count as
-        unreliable. An order to prepare is then sent again in the next round.
+        :returns: The time until the next round, in seconds.
         """
-        if not self.leadership.held():
-            return
         current = self.current
-        is_prepare = order.kind is group_orders.OrderKind.prepare
-        sets = current.sets if current and is_prepare else ()
-        if current and is_prepare:
-            current.prepare_sent_s[order.rank] = clocks.monotonic_s()
-        status = await self.calls.order(order, registration, self.epoch, sets)
-        if status:
+        if current is None:
+            return self._idle_interval_s()
+        orders = group_orders.orders_before_hold(
+            reports,
+            self.membership.size,
+            current.version,
+            # The hold is at another VM, which releases it if this one fails.
+            (self.membership.rank + 1) % self.membership.size,
+            self._step_margin(),
+        )
+        if not orders or not self.leadership.held():
+            return ORDER_INTERVAL_S
+        if orders[0].kind is group_orders.OrderKind.prepare:
+            await self._prepare(current, orders, ranks)
+            return PREPARE_INTERVAL_S
+        self.hold_sent_s = clocks.monotonic_s()
+        hold = orders[0]
+        status = await self.calls.hold(hold, ranks[hold.rank], self.maps.epoch)
+        if not status:
+            self._record_unreliable()
+        return 0
+
+    def _step_margin(self) -> int:
+        """Return how many steps ahead the group is held."""
+        margin = step_margins.margin(self.pace)
+        if clocks.monotonic_s() < self.unreliable_deadline_s:
+            return max(margin, group_orders.CAUTIOUS_STEP_MARGIN)
+        return margin
+
+    async def _prepare(
+        self,
+        current: map_planning.MapPlan,
+        orders: rank_calls.Orders,
+        ranks: rank_calls.Ranks,
+    ) -> None:
+        """Send the map to the ranks that have not received it recently."""
+        due = current.due_prepares(orders, clocks.monotonic_s())
+        if not due:
             return
+        answered = await self.spread.prepare(
+            due, ranks, self.maps.epoch, current.sets
+        )
+        for order in due:
+            if order.rank not in answered:
+                current.prepare_sent_s.pop(order.rank, None)
+        if len(answered) < len(due):
+            self._record_unreliable()
+
+    async def _send_orders(
+        self, orders: rank_calls.Orders, ranks: rank_calls.Ranks
+    ) -> rank_calls.States:
+        """Send orders while the lease is held; return the states afterwards."""
+        if not self.leadership.held():
+            return {}
+        after = await self.calls.arm_or_release(orders, ranks, self.maps.epoch)
+        if len(after) < len(orders):
+            self._record_unreliable()
+        return after
+
+    def _record_unreliable(self) -> None:
+        """Count orders as unreliable for a while after one had no response."""
         self.unreliable_deadline_s = clocks.monotonic_s() + UNRELIABLE_ORDERS_S
-        if current and is_prepare:
-            current.prepare_sent_s.pop(order.rank, None)
+
+
+def _reports(states: rank_calls.States) -> group_orders.Reports:
+    return {rank: rank_state.report for rank, rank_state in states.items()}
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -5,7 +5,13 @@
 import attrs
 import curio
 
-from camphorstair_agent.fleet import leading, rank_calls, state
+from camphorstair_agent.fleet import (
+    leading,
+    map_planning,
+    rank_calls,
+    spread_calls,
+    state,
+)
 from camphorstair_core.experts import group_planner
 from camphorstair_core.fleet import roster
 from camphorstair_fleet import keys, leasing
@@ -58,13 +64,18 @@
         leadership = await self._acquire(membership.group)
         if leadership is None:
             return
+        spread = spread_calls.SpreadCalls(self.calls)
+        planner = group_planner.GroupPlanner(
+            profile.place_count, profile.spare_count
+        )
         leader = leading.Leader(
             self.agent,
             self.calls,
+            spread,
             leadership,
             membership,
-            group_planner.GroupPlanner(
-                profile.place_count, profile.spare_count
+            map_planning.MapPlanner(
+                self.agent.meters, spread, leadership.revision, planner
             ),
         )
         async with curio.TaskGroup(wait=any) as group:
--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -13,8 +13,8 @@
 import attrs
 import curio
 
-from camphorstair_agent.fleet import state
-from camphorstair_core.experts import group_orders, group_planner
+from camphorstair_agent.fleet import rank_datagrams, state
+from camphorstair_core.experts import group_orders
 from camphorstair_core.fleet import membership, roster
 from camphorstair_fleet import internal_messages
 from camphorstair_platform import engines, fields
@@ -29,6 +29,7 @@
 
 States = dict[int, internal_messages.RankState]
 Ranks = dict[int, roster.Registration]
+Orders = list[group_orders.Order]
 
 
 @attrs.define(eq=False)
@@ -36,63 +37,104 @@
     """Client of the ranks of one group.
 
     :ivar agent: The state of this agent.
+    :ivar datagrams: Sends the calls that need no connection.
     :ivar generator: Chooses the entry that relays an order to hold.
     :ivar bypass_deadlines_s: Until when an agent is bypassed, by rank;
         monotonic clock.
     """
 
     agent: state.FleetAgent
+    datagrams: rank_datagrams.DatagramCaller
     generator: random.Random = attrs.field(factory=random.SystemRandom)
     bypass_deadlines_s: dict[int, float] = attrs.field(factory=dict)
 
-    async def states(self, ranks: Ranks, *, with_counts: bool) -> States:
+    async def states(self, ranks: Ranks) -> States:
         """Return the state of each rank that answers.
 
         :param ranks: The registrations of the group by rank.
-        :param with_counts: Whether to request counts and experts as well. They
-            are empty for a rank whose agent does not answer.
         """
-        states: States = {}
-
-        async def request_state(
-            rank: int, registration: roster.Registration
-        ) -> None:
-            answer = await self._fetch_state(
-                rank, registration, with_counts=with_counts
-            )
-            if answer is not None:
-                states[rank] = answer
-
+        replies = await self._call_agents(
+            [
+                rank_datagrams.Call(rank, self.agent_address(registration))
+                for rank, registration in ranks.items()
+                if not self.is_bypassed(rank)
+            ],
+            0,
+        )
+        states = _reported_states(replies)
+        missing = {rank: ranks[rank] for rank in ranks if rank not in states}
         async with curio.TaskGroup() as group:
-            for rank, registration in ranks.items():
-                await group.spawn(request_state, rank, registration)
+            for rank, registration in missing.items():
+                await group.spawn(
+                    self._read_engine_state, states, rank, registration
+                )
         return states
 
-    async def order(
+    async def arm_or_release(
+        self, orders: Orders, ranks: Ranks, epoch: int
+    ) -> States:
+        """Send orders without a map to ranks; return their states afterwards.
+
+        A rank that did not confirm its order is missing. Such an order may
+        have been carried out, or may be carried out later.
+        """
+        calls = [
+            rank_datagrams.Call(
+                order.rank, self.agent_address(ranks[order.rank]), order
+            )
+            for order in orders
+            if not self.is_bypassed(order.rank)
+        ]
+        replies = await self._call_agents(calls, epoch)
+        confirmed = {
+            rank: reply for rank, reply in replies.items() if reply.status
+        }
+        for order in orders:
+            reply = confirmed.get(order.rank)
+            status = reply.status if reply else 0
+            if not status:
+                status = await self._order_engine(
+                    internal_messages.RankOrder(order, epoch),
+                    ranks[order.rank],
+                )
+            self.record_order(order, status)
+        return _reported_states(confirmed)
+
+    async def hold(
         self,
         order: group_orders.Order,
         registration: roster.Registration,
         epoch: int,
-        sets: group_planner.Sets,
     ) -> int:
-        """Send an order to a rank.
+        """Send an order to hold the group through an entry, if one is known.
 
-        :param order: The order.
-        :param registration: The registration of the rank's engine.
-        :param epoch: Number of the group's formation.
-        :param sets: The map for an order to prepare; empty for other orders.
         :returns: The status of the response; 0 if there is none, in which case
             the rank may still have carried out the order.
         """
-        message = internal_messages.RankOrder(order, epoch, sets)
+        rank_order = internal_messages.RankOrder(order, epoch)
         entries = list(self.agent.members.values())
-        if order.kind is group_orders.OrderKind.hold and entries:
-            entry = self.generator.choice(entries)
+        if entries:
             status = await _order_through_entry(
-                entry, registration.address, message
+                self.generator.choice(entries),
+                registration.address,
+                rank_order,
             )
         else:
-            status = await self._send_order(message, registration)
+            status = await self._order_engine(rank_order, registration)
+        self.record_order(order, status)
+        return status
+
+    def agent_address(self, registration: roster.Registration) -> str:
+        """Return ``IP:port`` of the agent on the VM of an engine."""
+        host = registration.address.rpartition(':')[0]
+        return f'{host}:{self.agent.settings.internal_port}'
+
+    def is_bypassed(self, rank: int) -> bool:
+        """Return whether the agent of a rank did not answer recently."""
+        return clocks.monotonic_s() < self.bypass_deadlines_s.get(rank, 0)
+
+    def record_order(self, order: group_orders.Order, status: int) -> None:
+        """Count and log an order and the status of its answer, 0 if none."""
         self.agent.meters.orders.add(
             1, {'kind': order.kind.value, 'status': status}
         )
@@ -106,94 +148,55 @@
                 'status': status,
             },
         )
-        return status
 
-    async def _send_order(
-        self,
-        message: internal_messages.RankOrder,
-        registration: roster.Registration,
-    ) -> int:
-        """Send an order through the rank's agent, or directly to the engine.
-
-        :returns: The status of the response; 0 if there is none.
-        """
-        order = message.order
-        answer = await self._call_agent(
-            order.rank,
-            registration,
-            internal_messages.ORDER_PATH,
-            internal_messages.encode(message),
+    async def _call_agents(
+        self, calls: list[rank_datagrams.Call], epoch: int
+    ) -> rank_datagrams.Replies:
+        """Make calls by datagram; bypass the agents that do not reply."""
+        replies = await self.datagrams.call_all(calls, epoch)
+        silent = [call.rank for call in calls if call.rank not in replies]
+        if silent:
+            _LOG.warning('the agents of ranks %s do not answer', silent)
+        bypass_deadline_s = clocks.monotonic_s() + AGENT_BYPASS_S
+        self.bypass_deadlines_s.update(dict.fromkeys(silent, bypass_deadline_s))
+        return replies
+
+    async def _read_engine_state(
+        self, states: States, rank: int, registration: roster.Registration
+    ) -> None:
+        """Read a rank's state from its engine and add it to the states."""
+        reply = await fetch(
+            registration.address, engines.report_request(), ENGINE_LIMIT_S
         )
-        if answer is not None:
-            return internal_messages.decode(
-                answer, internal_messages.OrderOutcome
-            ).status
-        request = engines.order_request(order, message.epoch, message.sets)
-        reply = await self._call_engine(registration, request)
-        return reply.status if reply else 0
-
-    async def _fetch_state(
-        self,
-        rank: int,
-        registration: roster.Registration,
-        *,
-        with_counts: bool,
-    ) -> internal_messages.RankState | None:
-        """Read the state of a rank from its agent, or directly from the engine.
-
-        :returns: The state; None if there is no response or it is malformed.
-        """
-        path = internal_messages.STATE_PATH
-        if with_counts:
-            path = internal_messages.STATE_WITH_COUNTS_PATH
-        answer = await self._call_agent(rank, registration, path, b'')
-        if answer is not None:
-            return internal_messages.decode(answer, internal_messages.RankState)
-        reply = await self._call_engine(registration, engines.report_request())
         if reply is None:
-            return None
+            return
         try:
-            engine_report = engines.decode_report(reply.body)
+            report = engines.decode_report(reply.body)
         except fields.FormatError as error:
             _LOG.warning('malformed report of rank %s: %s', rank, error)
-            return None
-        if engine_report.rank is None:
-            return None
-        return internal_messages.RankState(
-            engine_report.rank, engine_report.pace
-        )
+            return
+        if report.rank is not None:
+            states[rank] = internal_messages.RankState(report.rank, report.pace)
 
-    async def _call_agent(
+    async def _order_engine(
         self,
-        rank: int,
+        rank_order: internal_messages.RankOrder,
         registration: roster.Registration,
-        path: str,
-        body: bytes,
-    ) -> bytes | None:
-        """Call the agent of a rank.
+    ) -> int:
+        """Send an order to the engine itself and return the status, 0 if none."""
+        request = engines.order_request(
+            rank_order.order, rank_order.epoch, rank_order.sets
+        )
+        reply = await fetch(registration.address, request, ENGINE_LIMIT_S)
+        return reply.status if reply else 0
 
-        :returns: The body of its response; None if it is bypassed, does not
-            answer or responds with an error.
-        """
-        now_s = clocks.monotonic_s()
-        if now_s < self.bypass_deadlines_s.get(rank, 0):
-            return None
-        host = registration.address.rpartition(':')[0]
-        address = f'{host}:{self.agent.settings.internal_port}'
-        request = http_messages.Request('POST', path, [], body)
-        answer = await _fetch(address, request, AGENT_LIMIT_S)
-        if answer is None:
-            _LOG.warning('the agent of rank %s does not answer', rank)
-            self.bypass_deadlines_s[rank] = now_s + AGENT_BYPASS_S
-            return None
-        return answer.body if answer.status == http.HTTPStatus.OK else None
-
-    async def _call_engine(
-        self,
-        registration: roster.Registration,
-        request: http_messages.Request,
-    ) -> http_messages.Response | None:
-        return await _fetch(registration.address, request, ENGINE_LIMIT_S)
+
+def _reported_states(replies: rank_datagrams.Replies) -> States:
+    return {
+        rank: reply.state
+        for rank, reply in replies.items()
+        if reply.state is not None
+    }
 
 
 async def _order_through_entry(
@@ -213,15 +216,20 @@
         [],
         internal_messages.encode(relayed_order),
     )
-    answer = await _fetch(entry.internal_address, request, AGENT_LIMIT_S)
+    answer = await fetch(entry.internal_address, request, AGENT_LIMIT_S)
     if answer is None or answer.status != http.HTTPStatus.OK:
         return 0
-    return internal_messages.decode(
-        answer.body, internal_messages.OrderOutcome
-    ).status
+    try:
+        outcome = internal_messages.decode(
+            answer.body, internal_messages.OrderOutcome
+        )
+    except internal_messages.MessageError as error:
+        _LOG.warning('malformed reply of %s: %s', entry.name, error)
+        return 0
+    return outcome.status
 
 
-async def _fetch(
+async def fetch(
     address: str,
     request: http_messages.Request,
     limit_s: float,
--- a/packages/agent/src/camphorstair_agent/fleet/rescuing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rescuing.py
@@ -81,16 +81,12 @@
         :param held_before: The holds that the previous round saw.
         :returns: The holds that this round saw.
         """
-        states = await self.calls.states(ranks, with_counts=False)
+        states = await self.calls.states(ranks)
         reports = {
             rank: rank_state.report for rank, rank_state in states.items()
         }
         orders = group_orders.orders_while_held(reports, size, held_before)
-        async with curio.TaskGroup() as group:
-            for order in orders:
-                epoch = reports[order.rank].epoch
-                registration = ranks[order.rank]
-                await group.spawn(
-                    self.calls.order, order, registration, epoch, ()
-                )
+        if orders:
+            epoch = reports[orders[0].rank].epoch
+            await self.calls.arm_or_release(orders, ranks, epoch)
         return group_orders.holds(reports)
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -12,6 +12,7 @@
     listing,
     planning,
     rank_calls,
+    rank_datagrams,
     ranks,
     rescuing,
     sensing,
@@ -37,27 +38,15 @@
     agent = state.FleetAgent(told, instruments.create(meter))
     gauges.create(meter, agent)
     client = store.StoreClient(told.store.address)
-    service = ranks.RankService(
-        engine_calls.EngineCalls(told.engine_address),
-        engine_calls.EngineCalls(told.engine_address),
-    )
     load_sender = sensing.LoadReporter(
         agent, engine_calls.EngineCalls(told.engine_address)
     )
     async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(
-            listening.serve(
-                told.address,
-                told.internal_port,
-                http_server.Server(service.handle).serve,
-            ),
-        )
         await group.spawn(metrics_page.serve, told.address)
         await group.spawn(listing.StorePoller(agent, client).run)
         await group.spawn(load_sender.run)
-        calls = rank_calls.RankCalls(agent)
-        await group.spawn(planning.PlannerCandidate(agent, client, calls).run)
-        await group.spawn(rescuing.HoldWatchdog(agent, calls).run)
+        await _serve_rank(group, told)
+        await _plan_group(group, agent, client)
         _LOG.info('listening', extra={'engine': told.engine_address})
         while await signal_socket.recv(1) == bytes([signal.SIGHUP]):
             _LOG.info('SIGHUP ignored: settings are read only at the start')
@@ -65,6 +54,29 @@
     _LOG.info('stopped')
 
 
+async def _serve_rank(group: curio.TaskGroup, told: boot.BootSettings) -> None:
+    """Answer the calls of planners and of other agents."""
+    service = ranks.RankService(
+        engine_calls.EngineCalls(told.engine_address),
+        engine_calls.EngineCalls(told.engine_address),
+    )
+    host, port = told.address, told.internal_port
+    server = http_server.Server(service.handle)
+    await group.spawn(listening.serve(host, port, server.serve))
+    await group.spawn(service.serve_datagrams, host, port)
+
+
+async def _plan_group(
+    group: curio.TaskGroup, agent: state.FleetAgent, client: store.StoreClient
+) -> None:
+    """Plan the maps of the engine's rank group and release stuck holds."""
+    datagrams = rank_datagrams.DatagramCaller(agent.settings.address)
+    await group.spawn(datagrams.run)
+    calls = rank_calls.RankCalls(agent, datagrams)
+    await group.spawn(planning.PlannerCandidate(agent, client, calls).run)
+    await group.spawn(rescuing.HoldWatchdog(agent, calls).run)
+
+
 def main() -> None:
     """Run an agent with the boot settings of the platform."""
     told = boot.decode(boot.path().read_bytes())
--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -147,12 +147,28 @@
         speed.
     :returns: The map; equal to the current one if no change is worth its cost.
     """
+    steps = plan_steps(held, loads, limits, paces)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
+def plan_steps(
+    held: RankExperts,
+    loads: Loads,
+    limits: SetLimits,
+    paces: Loads = (),
+) -> abc.Generator[None, None, RankExperts]:
+    """Do the same as :func:`plan_set`, with a pause after each change."""
     draft = _draft(held, loads, paces)
     while True:
         change = _best_change(draft, limits)
         if change is None:
             return tuple(tuple(sorted(experts)) for experts in draft.held)
         _apply(draft, change)
+        yield
 
 
 def _times(by_rank: list[float], paces: Loads) -> list[float]:
--- a/packages/core/src/camphorstair_core/experts/group_planner.py
+++ b/packages/core/src/camphorstair_core/experts/group_planner.py
@@ -1,10 +1,10 @@
 """Plans the map of a rank group from the counts that its ranks report."""
 
-import itertools
+from collections import abc
 
 import attrs
 
-from camphorstair_core.experts import even_maps, smoothing
+from camphorstair_core.experts import count_increases, even_maps, smoothing
 
 # Maximum number of experts of a set that a rank has to copy for one plan.
 MAX_NEW_EXPERTS = 1
@@ -14,7 +14,6 @@
 MIN_COUNT = 400
 
 Sets = tuple[even_maps.RankExperts, ...]
-Counts = tuple[tuple[int, ...], ...]
 
 
 @attrs.define(eq=False)
@@ -24,27 +23,23 @@
     :ivar places: Maximum number of experts of a set at one rank.
     :ivar spare: Maximum number of experts of a set that a rank may copy.
     :ivar loads: Estimated loads of the experts, by set.
-    :ivar last: Last counts of each rank.
     """
 
     places: int
     spare: int
     loads: list[smoothing.SmoothedLoad] = attrs.field(factory=list)
-    last: dict[int, Counts] = attrs.field(factory=dict)
 
-    def note(self, counts: dict[int, Counts]) -> None:
-        """Update the estimate from the counts of all ranks since their starts.
+    def note(self, increase: count_increases.Counts) -> None:
+        """Update the estimate from the recent choices of the group.
 
-        :param counts: For each rank and set the token count of each expert.
+        :param increase: For each set, how often each expert was chosen since
+            the last call.
         """
-        set_count = min((len(sets) for sets in counts.values()), default=0)
         if not self.loads:
-            self.loads = [smoothing.SmoothedLoad() for _ in range(set_count)]
-        for index, smoothed in enumerate(self.loads[:set_count]):
-            increase = self._increase(counts, index)
-            if sum(increase) >= MIN_COUNT:
-                smoothing.update_estimate(smoothed, increase)
-        self.last = counts
+            self.loads = [smoothing.SmoothedLoad() for _ in increase]
+        for smoothed, counts in zip(self.loads, increase, strict=False):
+            if sum(counts) >= MIN_COUNT:
+                smoothing.update_estimate(smoothed, list(counts))
 
     def skew(self, sets: Sets, paces: even_maps.Loads = ()) -> float:
         """Return the mean skew of a map's sets under the estimated load.
@@ -69,34 +64,39 @@
         :param paces: Slowdown factor of each rank; empty if all have their
             usual speed.
         """
+        steps = self.plan_steps(sets, paces)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+
+    def plan_steps(
+        self, sets: Sets, paces: even_maps.Loads = ()
+    ) -> abc.Generator[None, None, Sets | None]:
+        """Plan in short steps, between which the caller can do other work.
+
+        :param sets: The map in use.
+        :param paces: Slowdown factor of each rank; empty if all have their
+            usual speed.
+        :returns: A map whose gain justifies its copies, or None.
+        """
         if not self._load_known(sets):
             return None
         limits = even_maps.SetLimits(
             self.places, min(self.spare, MAX_NEW_EXPERTS)
         )
-        planned = tuple(
-            even_maps.plan_set(held, smoothed.shares, limits, paces)
-            for held, smoothed in zip(sets, self.loads, strict=True)
-        )
-        if self.skew(sets, paces) - self.skew(planned, paces) < MIN_GAIN:
+        planned = []
+        loads = [list(smoothed.shares) for smoothed in self.loads]
+        for held, shares in zip(sets, loads, strict=True):
+            planned_set = yield from even_maps.plan_steps(
+                held, shares, limits, paces
+            )
+            planned.append(planned_set)
+        planned_sets = tuple(planned)
+        if self.skew(sets, paces) - self.skew(planned_sets, paces) < MIN_GAIN:
             return None
-        return planned
-
-    def _increase(self, counts: dict[int, Counts], index: int) -> list[int]:
-        """Return the increase of a set's counts since the last report.
-
-        The increase is summed over the ranks. A rank whose counts are new or
-        have decreased, as after a restart, is left out.
-        """
-        size = max(len(sets[index]) for sets in counts.values())
-        increase = list(itertools.repeat(0, size))
-        for rank, current in counts.items():
-            before = self.last.get(rank)
-            if before is None or sum(before[index]) > sum(current[index]):
-                continue
-            for expert, count in enumerate(current[index]):
-                increase[expert] += max(0, count - before[index][expert])
-        return increase
+        return planned_sets
 
     def _load_known(self, sets: Sets) -> bool:
         if not sets or len(sets) != len(self.loads):
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -7,11 +7,11 @@
 
 from camphorstair_core.experts import even_maps, group_orders
 
-STATE_PATH = '/state'
-STATE_WITH_COUNTS_PATH = '/state/counts'
 ORDER_PATH = '/order'
+PREPARE_PATH = '/prepare'
+COUNTS_PATH = '/counts'
+EXPERTS_PATH = '/experts'
 RELAY_PATH = '/relay'
-
 # Longest datagram that is read whole.
 MAX_DATAGRAM_BYTES = 2048
 
@@ -46,15 +46,77 @@
 
     :ivar report: The versions of the expert maps at the rank, and its steps.
     :ivar pace: Factor by which its engine is slower than usual; 1 is usual.
-    :ivar experts: Experts that the rank holds, by set; empty unless requested.
-    :ivar counts: How often its requests chose each expert since it started, by
-        set; empty unless requested.
     """
 
     report: group_orders.RankReport
     pace: float = 1.0
-    experts: tuple[tuple[int, ...], ...] = ()
-    counts: tuple[tuple[int, ...], ...] = ()
+
+
+@attrs.frozen
+class RankCall:
+    """A datagram from a planner to the agent of a rank.
+
+    The agent replies with the rank's state, after it has carried out the order
+    if there is one.
+
+    :ivar number: Number of the call, which the reply repeats.
+    :ivar order: An order without a map; None to read the state only.
+    :ivar epoch: Number of the group's formation that the order applies to.
+    """
+
+    number: int
+    order: group_orders.Order | None = None
+    epoch: int = 0
+
+
+@attrs.frozen
+class RankReply:
+    """The reply of an agent to a ``RankCall``, also a datagram.
+
+    :ivar number: Number of the call.
+    :ivar status: HTTP status of the engine's answer to the order; 0 if there
+        was no order or no answer.
+    :ivar state: State of the rank; None if the engine does not report one.
+    """
+
+    number: int
+    status: int
+    state: RankState | None
+
+
+@attrs.frozen
+class RankExperts:
+    """The experts that a rank holds, sent by its agent.
+
+    :ivar version: Version of the map in use.
+    :ivar sets: Experts that the rank holds, by set.
+    """
+
+    version: int
+    sets: tuple[tuple[int, ...], ...]
+
+
+@attrs.frozen
+class CountsCall:
+    """A request for the counts of several ranks, added up by one agent.
+
+    :ivar agents: ``IP:port`` of the agents of the other ranks to include.
+    """
+
+    agents: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class CountsReply:
+    """How often the requests at some ranks chose each expert recently.
+
+    :ivar ranks: Number of ranks that are included.
+    :ivar sets: For each set, the count of each expert since the agent of a
+        rank last passed on its counts.
+    """
+
+    ranks: int
+    sets: tuple[tuple[int, ...], ...]
 
 
 @attrs.frozen
@@ -72,6 +134,41 @@
     sets: tuple[even_maps.RankExperts, ...] = ()
 
 
+@attrs.frozen
+class PeerRank:
+    """A rank whose agent receives an order from the agent of another rank.
+
+    :ivar rank: The rank.
+    :ivar agent: ``IP:port`` of its agent.
+    """
+
+    rank: int
+    agent: str
+
+
+@attrs.frozen
+class PrepareCall:
+    """An order to prepare a map, for a rank and for others of its group.
+
+    :ivar order: The order for the rank of the agent that receives this.
+    :ivar peers: Ranks to which that agent passes the order on.
+    """
+
+    order: RankOrder
+    peers: tuple[PeerRank, ...] = ()
+
+
+@attrs.frozen
+class PrepareReply:
+    """The outcome of a ``PrepareCall``.
+
+    :ivar statuses: HTTP status of each engine's answer by rank; ranks without
+        an answer are left out.
+    """
+
+    statuses: dict[int, int]
+
+
 @attrs.frozen
 class RelayedOrder:
     """An order that a planner sends to an entry to relay to a rank.
--- a/tests/test_even_maps.py
+++ b/tests/test_even_maps.py
@@ -6,7 +6,11 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from camphorstair_core.experts import even_maps, group_planner
+from camphorstair_core.experts import (
+    count_increases,
+    even_maps,
+    group_planner,
+)
 
 RANKS = 12
 EXPERTS = 96
@@ -111,13 +115,9 @@
 def test_planner_balances_load_then_stops_planning() -> None:
     planner = group_planner.GroupPlanner(11, 4)
     sets: group_planner.Sets = (even_maps.round_robin(EXPERTS, RANKS),)
-    counts = list(itertools.repeat(0, EXPERTS))
+    counts = tuple(round(100_000 * share) for share in _zipf_loads(3))
     for _ in range(4):
-        new_counts = [round(100_000 * share) for share in _zipf_loads(3)]
-        counts = [
-            old + new for old, new in zip(counts, new_counts, strict=True)
-        ]
-        planner.note({0: (tuple(counts),)})
+        planner.note((counts,))
     planned = planner.plan(sets)
     assert planned is not None
     while planned is not None:
@@ -136,15 +136,7 @@
         tuple(round(100_000 * share) for share in _zipf_loads(seed + index))
         for index in range(3)
     )
-    planner.note({0: counts})
-    planner.note(
-        {
-            0: tuple(
-                tuple(2 * count for count in set_counts)
-                for set_counts in counts
-            )
-        }
-    )
+    planner.note(counts)
     sets = first
     planned = planner.plan(sets)
     while planned is not None:
@@ -166,8 +158,14 @@
 
 def test_counter_reset_after_rank_restart_is_handled() -> None:
     planner = group_planner.GroupPlanner(11, 4)
-    planner.note({0: ((500, 900),)})
-    planner.note({0: ((10, 20),)})
-    planner.note({0: ((1010, 20),)})
+    reports = ((), ((500, 900),), ((10, 20),), ((1010, 20),))
+    for before, current in itertools.pairwise(reports):
+        planner.note(count_increases.increase(before, current))
     shares = planner.loads[0].shares
     assert round(10 * shares[0]) >= 9
+
+
+def test_counts_of_ranks_are_added_up_without_those_of_another_shape() -> None:
+    counts = [((1, 2), (3, 4)), (), ((5, 6), (7, 8)), ((9,),)]
+    assert count_increases.total(counts) == ((6, 8), (10, 12))
+    assert count_increases.total([(), ()]) == ()
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -1,7 +1,7 @@
 """Tests of a fleet agent against a simulated engine over real sockets."""
 
 import functools
-import time
+import socket
 from collections import abc
 
 import attrs
@@ -14,7 +14,9 @@
     engine_calls,
     instruments,
     rank_calls,
+    rank_datagrams,
     ranks,
+    spread_calls,
     state,
 )
 from camphorstair_core.experts import group_orders
@@ -34,6 +36,7 @@
     b'{"Running": 1, "Waiting": 0, "step": 7, "Map": 3, "Prepared": null,'
     b'"Armed": null, "held": null, "group": {"Name": "g", "epoch": 2}}'
 )
+ENGINE_ORDER_PATH = '/camphorstair/order'
 ORDER = internal_messages.RankOrder(
     group_orders.Order(0, group_orders.OrderKind.hold, step=9), 2
 )
@@ -63,54 +66,102 @@
             host, port = settings.split_address(address)
             server = http_server.Server(handler)
             await group.spawn(listening.serve, host, port, server.serve)
+        await group.spawn(
+            service.serve_datagrams, *settings.split_address(agent)
+        )
         await curio.sleep(0.02)
-        await body(agent)
+        body_task = await group.spawn(body, agent)
+        await body_task.wait()
         await group.cancel_remaining()
+    if body_task.exception is not None:
+        raise body_task.exception
+
+
+async def _call(
+    agent: str, *orders: group_orders.Order | None
+) -> rank_datagrams.Replies:
+    """Call an agent by datagram once for each order; return its replies."""
+    caller = rank_datagrams.DatagramCaller(loopback.HOST)
+    receiving = await curio.spawn(caller.run)
+    await curio.sleep(0)
+    calls = [
+        rank_datagrams.Call(number, agent, order)
+        for number, order in enumerate(orders)
+    ]
+    try:
+        return await caller.call_all(calls, epoch=2)
+    finally:
+        await receiving.cancel()
 
 
-async def _post(agent: str, path: str, content: bytes) -> bytes:
-    request = http_messages.Request('POST', path, [], content)
-    return (await http_client.fetch(agent, request)).body
-
-
-def test_state_request_returns_rank_report() -> None:
+def test_state_call_returns_rank_report() -> None:
     async def body(agent: str) -> None:
-        answer = await _post(agent, internal_messages.STATE_PATH, b'')
-        decoded = internal_messages.decode(answer, internal_messages.RankState)
-        assert decoded.report == group_orders.RankReport(2, 7, 3, 0)
+        state_after = (await _call(agent, None))[0].state
+        assert state_after is not None
+        assert state_after.report == group_orders.RankReport(2, 7, 3, 0)
 
     curio.run(_with_agent, body)
 
 
 def test_hung_order_is_reported_before_planner_timeout() -> None:
     async def body(agent: str) -> None:
-        content = internal_messages.encode(ORDER)
-        started_s = time.monotonic()
-        answer = await _post(agent, internal_messages.ORDER_PATH, content)
-        decoded = internal_messages.decode(
-            answer, internal_messages.OrderOutcome
-        )
-        assert decoded.status == 0
-        assert time.monotonic() - started_s < rank_calls.AGENT_LIMIT_S
+        reply = (await _call(agent, ORDER.order))[0]
+        assert reply.status == 0
+        assert reply.state is not None
 
-    assert engine_calls.CALL_LIMIT_S < rank_calls.AGENT_LIMIT_S
+    limit_s = rank_datagrams.REPLY_LIMIT_S * rank_datagrams.SENDS
+    assert engine_calls.CALL_LIMIT_S < limit_s
     curio.run(_with_agent, body)
 
 
-def test_state_requests_are_answered_while_order_is_pending() -> None:
+def test_state_calls_are_answered_while_order_is_pending() -> None:
     async def body(agent: str) -> None:
-        content = internal_messages.encode(ORDER)
         async with curio.TaskGroup() as group:
             order = await group.spawn(
-                _post, agent, internal_messages.ORDER_PATH, content
+                _post,
+                agent,
+                internal_messages.ORDER_PATH,
+                internal_messages.encode(ORDER),
             )
-            await _post(agent, internal_messages.STATE_PATH, b'')
+            assert (await _call(agent, None))[0].state is not None
             assert not order.terminated
             await order.cancel()
 
     curio.run(_with_agent, body)
 
 
+@pytest.mark.parametrize('content', [b'', b'junk', b'\x80', b'\x93\x01\x02'])
+def test_malformed_datagrams_do_not_stop_an_agent(content: bytes) -> None:
+    async def body(agent: str) -> None:
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        async with sock:
+            await sock.sendto(content, settings.split_address(agent))
+        assert 0 in await _call(agent, None)
+
+    curio.run(_with_agent, body)
+
+
+def test_a_silent_agent_does_not_delay_the_replies_of_others() -> None:
+    async def body(agent: str) -> None:
+        caller = rank_datagrams.DatagramCaller(loopback.HOST)
+        receiving = await curio.spawn(caller.run)
+        await curio.sleep(0)
+        calls = [
+            rank_datagrams.Call(0, loopback.free_address()),
+            rank_datagrams.Call(1, agent),
+        ]
+        assert set(await caller.call_all(calls, epoch=2)) == {1}
+        assert not caller.batches
+        await receiving.cancel()
+
+    curio.run(_with_agent, body)
+
+
+async def _post(agent: str, path: str, content: bytes) -> bytes:
+    request = http_messages.Request('POST', path, [], content)
+    return (await http_client.fetch(agent, request)).body
+
+
 @pytest.mark.parametrize('content', [b'', b'junk', b'\x80'])
 def test_an_unreadable_order_is_refused(content: bytes) -> None:
     async def body(agent: str) -> None:
@@ -124,20 +175,18 @@
 
 
 class _RequestRecorder:
-    """Record the requests to a simulated entry and to a simulated agent.
+    """Record the requests to a simulated entry and to a simulated engine.
 
     :ivar requested_paths: Paths of the requests in order of arrival.
     :ivar entry: Address of the entry's internal socket.
-    :ivar engine: Address of the engine; nothing listens there.
-    :ivar internal_port: Port of the agent's internal socket.
+    :ivar engine: Address of the engine.
     """
 
     def __init__(self) -> None:
         """Choose free ports."""
         self.requested_paths: list[str] = []
         self.entry = loopback.free_address()
-        self.engine = f'{loopback.HOST}:{_free_port()}'
-        self.internal_port = _free_port()
+        self.engine = loopback.free_address()
 
     async def answer(
         self,
@@ -150,10 +199,6 @@
         await responder.respond(internal_answers.whole(outcome))
 
 
-def _free_port() -> int:
-    return settings.split_address(loopback.free_address())[1]
-
-
 def _registration(engine: str) -> roster.Registration:
     return roster.Registration(
         'i-1',
@@ -168,6 +213,23 @@
     )
 
 
+def _rank_calls(entry: str | None) -> rank_calls.RankCalls:
+    """Return a client of ranks whose agents do not answer.
+
+    :param entry: Internal address of the entry that the agent knows, if any.
+    """
+    told = boot.decode(fleet_bench.boot_settings(loopback.free_address()))
+    meter = metrics_api.NoOpMeter('test')
+    agent = state.FleetAgent(told, instruments.create(meter))
+    if entry:
+        agent.members['front-1'] = membership.Member(
+            'front-1', 'levis-nord', '', entry
+        )
+    return rank_calls.RankCalls(
+        agent, rank_datagrams.DatagramCaller(loopback.HOST)
+    )
+
+
 async def _send_order(
     kind: group_orders.OrderKind, *, entries: bool
 ) -> list[str]:
@@ -176,30 +238,20 @@
     :param entries: Whether the agent knows a running entry.
     """
     recorder = _RequestRecorder()
-    told = boot.decode(fleet_bench.boot_settings(loopback.free_address()))
-    told = attrs.evolve(told, internal_port=recorder.internal_port)
-    meter = metrics_api.NoOpMeter('test')
-    agent = state.FleetAgent(told, instruments.create(meter))
-    if entries:
-        agent.members['front-1'] = membership.Member(
-            'front-1', 'levis-nord', '', recorder.entry
-        )
-    calls = rank_calls.RankCalls(agent)
+    calls = _rank_calls(recorder.entry if entries else None)
+    registration = _registration(recorder.engine)
+    order = group_orders.Order(0, kind, step=9)
     async with curio.TaskGroup(wait=any) as group:
-        agent_address = f'{loopback.HOST}:{recorder.internal_port}'
-        for address in (recorder.entry, agent_address):
+        for address in (recorder.entry, recorder.engine):
             host, port = settings.split_address(address)
             server = http_server.Server(recorder.answer)
             await group.spawn(listening.serve, host, port, server.serve)
         await curio.sleep(0.02)
-        status = await calls.order(
-            group_orders.Order(0, kind, step=9),
-            _registration(recorder.engine),
-            2,
-            (),
-        )
+        if kind is group_orders.OrderKind.hold:
+            assert await calls.hold(order, registration, 2) == 200
+        else:
+            await calls.arm_or_release([order], {0: registration}, 2)
         await group.cancel_remaining()
-    assert status == 200
     return recorder.requested_paths
 
 
@@ -207,16 +259,43 @@
     ('kind', 'entries', 'path'),
     [
         (group_orders.OrderKind.hold, True, internal_messages.RELAY_PATH),
-        (group_orders.OrderKind.hold, False, internal_messages.ORDER_PATH),
-        (group_orders.OrderKind.go, True, internal_messages.ORDER_PATH),
+        (group_orders.OrderKind.hold, False, ENGINE_ORDER_PATH),
+        (group_orders.OrderKind.go, True, ENGINE_ORDER_PATH),
     ],
 )
-def test_hold_order_is_relayed_by_entry_if_one_is_known(
+def test_orders_reach_the_engine_of_a_silent_agent(
     kind: group_orders.OrderKind,
     path: str,
     *,
     entries: bool,
 ) -> None:
-    assert curio.run(functools.partial(_send_order, kind, entries=entries)) == [
-        path
-    ]
+    """A hold is relayed by an entry if one is known."""
+    sending = functools.partial(_send_order, kind, entries=entries)
+    assert curio.run(sending) == [path]
+
+
+def _large_group(
+    size: int,
+) -> tuple[spread_calls.SpreadCalls, rank_calls.Ranks]:
+    calls = _rank_calls(None)
+    registrations = {
+        rank: attrs.evolve(
+            _registration(f'10.0.{rank}.1:80'), endpoint=f'i-{rank}'
+        )
+        for rank in range(size)
+    }
+    return spread_calls.SpreadCalls(calls), registrations
+
+
+@pytest.mark.parametrize('size', [1, 2, 12, 24, 63, 64])
+def test_large_messages_are_sent_to_few_agents_that_change(size: int) -> None:
+    spread, registrations = _large_group(size)
+    heads: set[int] = set()
+    for _ in range(size):
+        chunks = spread.chunks(registrations)
+        ranks_reached = [rank for chunk in chunks for rank, _row in chunk]
+        assert sorted(ranks_reached) == list(range(size))
+        assert len(chunks) <= size**0.5 + 1
+        assert max(map(len, chunks)) <= size**0.5 + 1
+        heads.update(chunk[0][0] for chunk in chunks)
+    assert heads == set(range(size))
