Follow the store by one mirror, through one reader per data centre, by era

Cause: 99 entries each watched the store, and each registration of 197 endpoints at the start woke all of them; 192 agents scanned all members and endpoints every 2 s. A store that came back from an older copy was taken for the same one: its changes were dropped, since revisions are given out again. Change: core/fleet/store_copy keeps positions as pairs of era and revision and defers what a return of the store has brought back until its owner writes it or a limit passes; leases of an earlier era are not held; map versions contain the era. One mirror serves entries and agents, with the store, the copy of an entry or a slow poll as its source. Where ConfigApplyMs leaves time to notice a failed reader, one entry per data centre reads the store and the others follow it; agents follow entries.

--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -1,7 +1,7 @@
-"""Polls the store for endpoints, entries, planners and the configuration.
+"""Keeps the agent's lists of endpoints, entries, planners and services.
 
-Scans allow results that are some seconds old, which is recent enough here
-and costs a tenth of a consistent read. The store lists entries as members.
+Agents follow the copy that an entry of their data centre has of the store. They
+read from the store itself only while they know no such entry.
 """
 
 import logging
@@ -11,8 +11,15 @@
 import msgspec
 
 from camphorstair_agent.fleet import state
-from camphorstair_core.fleet import membership
-from camphorstair_fleet import keys
+from camphorstair_core import vms
+from camphorstair_core.fleet import membership, store_copy
+from camphorstair_fleet import (
+    keys,
+    mirroring,
+    restored_keys,
+    source_choice,
+    sources,
+)
 from camphorstair_platform import (
     configuration,
     fields,
@@ -20,84 +27,127 @@
     store,
 )
 
-INTERVAL_S = 2.0
-# The service settings that an agent needs change rarely, so they are read only
-# in every n-th round.
-ROUNDS_PER_CONFIGURATION_READ = 20
+PREFIXES = (registrations.PREFIX, keys.PREFIX)
+# Entries that are asked before the store is.
+MAX_PEERS = 3
+# The service settings that an agent needs change rarely.
+SERVICES_INTERVAL_S = 40.0
+SERVICES_RETRY_S = 2.0
 
 _LOG = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
-class StorePoller:
-    """Copies endpoints, entries, planners and services into the agent's state.
+class StoreFollower:
+    """Keeps the agent's state up to date with the store's content.
 
     :ivar agent: The agent's state, which is updated.
     :ivar client: Client of the store.
-    :ivar round_count: Number of rounds so far.
+    :ivar mirror: Follows an entry, or polls the store.
     """
 
     agent: state.FleetAgent
     client: store.StoreClient
-    round_count: int = 0
+    mirror: mirroring.Mirror = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the mirror that passes changes to this object."""
+        choice = source_choice.SourceChoice(
+            sources.polled_source(self.client, PREFIXES),
+            PREFIXES,
+            self._peers,
+        )
+        self.mirror = mirroring.Mirror(
+            choice.choose,
+            self.agent.freshness,
+            self._apply,
+            self._finish_round,
+            store_copy.StoreCopy(restored_keys.applies_at_once),
+        )
 
     async def run(self) -> None:
-        """Poll the store every ``INTERVAL_S`` until cancelled."""
+        """Follow the endpoints, entries and planners until cancelled."""
+        await self.mirror.run()
+
+    async def run_services(self) -> None:
+        """Read the configured services from time to time until cancelled."""
         while True:
             try:
-                await self._refresh()
+                await self._read_services()
             except (store.StoreError, fields.FormatError) as error:
-                _LOG.warning('reading the store failed: %s', error)
-            await curio.sleep(INTERVAL_S)
-
-    async def _refresh(self) -> None:
-        """Replace the lists in the agent's state by those in the store."""
-        if (
-            not self.agent.services
-            or not self.round_count % ROUNDS_PER_CONFIGURATION_READ
-        ):
-            await self._read_services()
-        self.round_count += 1
-        listed = await self.client.scan(registrations.PREFIX, stale=True)
-        self.agent.endpoints = {}
-        for item in listed.rows:
-            self._add_endpoint(item)
-        balancer_items = await self.client.scan(keys.PREFIX, stale=True)
-        self.agent.members = {}
-        self.agent.planners = {}
-        for item in balancer_items.rows:
-            self._add_planner_or_member(item)
-        self.agent.reselect_entries()
+                _LOG.warning('reading the configuration failed: %s', error)
+            known = bool(self.agent.services)
+            await curio.sleep(
+                SERVICES_INTERVAL_S if known else SERVICES_RETRY_S
+            )
+
+    def _peers(self) -> list[str]:
+        """Return the internal addresses of entries, the nearest ones first."""
+        own = self.agent.settings
+        local = [
+            member.name
+            for member in self.agent.members.values()
+            if member.data_centre == own.data_centre
+        ]
+        names = local or list(self.agent.members)
+        return [
+            self.agent.members[name].internal_address
+            for name in vms.rendezvous(own.name, names, MAX_PEERS)
+        ]
+
+    async def _finish_round(self) -> None:
+        if self.mirror.had_changes:
+            self.agent.reselect_entries()
 
     async def _read_services(self) -> None:
-        item = await self.client.get(configuration.CONFIGURATION_KEY)
-        if item is not None and item.content is not None:
-            decoded = configuration.decode(item.content)
+        found = await self.client.get(
+            configuration.CONFIGURATION_KEY, stale=True
+        )
+        if found is not None and found.content is not None:
+            decoded = configuration.decode(found.content)
             self.agent.services = decoded.services
 
-    def _add_endpoint(self, item: store.Item) -> None:
-        """Add an endpoint; skip an item that is malformed."""
-        name = item.key.removeprefix(registrations.PREFIX)
-        try:
-            registration = registrations.decode(name, item.content or b'')
-        except fields.FormatError as error:
-            _LOG.debug(
-                'malformed endpoint registration at %s: %s', item.key, error
-            )
-            return
-        self.agent.endpoints[name] = registration
-
-    def _add_planner_or_member(self, item: store.Item) -> None:
-        """Add a planner or an entry; skip other and malformed items."""
-        if item.key.startswith(keys.PLANNERS_PREFIX):
-            group = item.key.removeprefix(keys.PLANNERS_PREFIX)
-            self.agent.planners[group] = (item.content or b'').decode()
-        elif item.key.startswith(keys.MEMBERS_PREFIX):
-            try:
-                decoded = msgspec.json.decode(
-                    item.content or b'', type=membership.Member
-                )
-            except msgspec.DecodeError as error:
-                _LOG.warning('malformed member at %s: %s', item.key, error)
-                return
-            self.agent.members[decoded.name] = decoded
+    def _apply(self, row: store_copy.Item) -> None:
+        if row.key.startswith(registrations.PREFIX):
+            self._apply_endpoint(row)
+        elif row.key.startswith(keys.PLANNERS_PREFIX):
+            self._apply_planner(row)
+        elif row.key.startswith(keys.MEMBERS_PREFIX):
+            self._apply_member(row)
+
+    def _apply_endpoint(self, row: store_copy.Item) -> None:
+        """Apply a change of an endpoint's registration.
+
+        :raises fields.FormatError: if it can't be decoded; the endpoint is
+            then removed.
+        """
+        name = row.key.removeprefix(registrations.PREFIX)
+        self.agent.endpoints.pop(name, None)
+        if row.content is not None:
+            registration = registrations.decode(name, row.content)
+            self.agent.endpoints[name] = registration
+
+    def _apply_planner(self, row: store_copy.Item) -> None:
+        group = row.key.removeprefix(keys.PLANNERS_PREFIX)
+        self.agent.planners.pop(group, None)
+        if row.content is not None:
+            holder = row.content.decode(errors='replace')
+            self.agent.planners[group] = holder
+
+    def _apply_member(self, row: store_copy.Item) -> None:
+        """Apply a change of an entry's key.
+
+        :raises fields.FormatError: if it can't be decoded; the entry is then
+            removed.
+        """
+        name = row.key.removeprefix(keys.MEMBERS_PREFIX)
+        self.agent.members.pop(name, None)
+        if row.content is not None:
+            self.agent.members[name] = _decode_member(row.content)
+
+
+def _decode_member(content: bytes) -> membership.Member:
+    try:
+        return msgspec.json.decode(content, type=membership.Member)
+    except msgspec.DecodeError as error:
+        raise fields.FormatError(f'invalid member: {error}') from error
--- a/packages/agent/src/camphorstair_agent/fleet/map_planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/map_planning.py
@@ -11,6 +11,7 @@
     spread_calls,
 )
 from camphorstair_core.experts import group_orders, group_planner
+from camphorstair_fleet import leasing
 
 # A rank that has not prepared a map after this time is sent the order again.
 PREPARE_LIMIT_S = 2.0
@@ -58,7 +59,7 @@
 
     :ivar meters: Records the skew of the maps in use.
     :ivar spread: Client of all ranks of the group.
-    :ivar lease_revision: Store revision under which the lease was taken.
+    :ivar leadership: The planner lease.
     :ivar planner: Estimates the experts' loads and computes new maps.
     :ivar in_use: The map last known to be in use, if any.
     :ivar epoch: Number of the group's formation.
@@ -67,7 +68,7 @@
 
     meters: instruments.Instruments
     spread: spread_calls.SpreadCalls
-    lease_revision: int
+    leadership: leasing.Leadership
     planner: group_planner.GroupPlanner
     in_use: MapPlan | None = None
     epoch: int = 0
@@ -89,7 +90,9 @@
         if planned_sets is None:
             return None
         self.planned += 1
-        version = group_orders.version_number(self.lease_revision, self.planned)
+        version = group_orders.version_number(
+            self.leadership.era, self.leadership.revision, self.planned
+        )
         skew = self.planner.skew(sets, paces)
         self.meters.skew.record(skew)
         _LOG.info(
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -75,7 +75,7 @@
             leadership,
             membership,
             map_planning.MapPlanner(
-                self.agent.meters, spread, leadership.revision, planner
+                self.agent.meters, spread, leadership, planner
             ),
         )
         async with curio.TaskGroup(wait=any) as group:
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -43,7 +43,9 @@
     )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(metrics_page.serve, told.address)
-        await group.spawn(listing.StorePoller(agent, client).run)
+        follower = listing.StoreFollower(agent, client)
+        await group.spawn(follower.run)
+        await group.spawn(follower.run_services)
         await group.spawn(load_sender.run)
         await _serve_rank(group, told)
         await _plan_group(group, agent, client)
--- a/packages/agent/src/camphorstair_agent/fleet/state.py
+++ b/packages/agent/src/camphorstair_agent/fleet/state.py
@@ -5,6 +5,7 @@
 from camphorstair_agent.fleet import instruments
 from camphorstair_core.fleet import (
     catalogue,
+    content_age,
     membership,
     roster,
     subsetting,
@@ -24,6 +25,7 @@
     :ivar planners: Name of the VM that holds the planner lease, by rank group.
     :ivar report: The last report of the engine on this VM; None if the last
         attempt to read it failed.
+    :ivar freshness: When the lists were last confirmed by the store.
     """
 
     settings: boot.BootSettings
@@ -33,6 +35,9 @@
     services: dict[str, catalogue.Service] = attrs.field(factory=dict)
     planners: dict[str, str] = attrs.field(factory=dict)
     report: engines.EngineReport | None = None
+    freshness: content_age.ContentAge = attrs.field(
+        factory=content_age.ContentAge
+    )
     _selected: list[membership.Member] | None = None
 
     def own_registration(self) -> roster.Registration | None:
--- a/packages/core/src/camphorstair_core/experts/group_orders.py
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -16,8 +16,8 @@
 4. When every rank reports that it is armed, the hold is released.
 
 A held group whose ranks have not all prepared the same version was never
-armed, and its hold is released at once. Versions increase with the store
-revision under which a planner took its lease. So no two planners use the same
+armed, and its hold is released at once. Versions increase with the store's era
+and revision under which a planner took its lease. So no two planners use the same
 version, and a rank refuses a late order to prepare an earlier version.
 """
 
@@ -31,6 +31,7 @@
 STEP_MARGIN = 2
 CAUTIOUS_STEP_MARGIN = 8
 VERSIONS_PER_LEASE = 10_000
+REVISIONS_PER_ERA = 1_000_000_000
 
 Holds = frozenset[tuple[int, int]]
 Reports = dict[int, 'RankReport']
@@ -83,13 +84,15 @@
     held_step: int | None = None
 
 
-def version_number(revision: int, count: int) -> int:
+def version_number(era: int, revision: int, count: int) -> int:
     """Return the version number of a planner's next map.
 
+    :param era: Era of the store in which the planner took its lease. The store
+        gives out revisions again in a later era.
     :param revision: Store revision under which the planner took its lease.
     :param count: Number of maps that the planner has planned.
     """
-    return revision * VERSIONS_PER_LEASE + count
+    return (era * REVISIONS_PER_ERA + revision) * VERSIONS_PER_LEASE + count
 
 
 def holds(reports: Reports) -> Holds:
--- a/packages/core/src/camphorstair_core/fleet/subsetting.py
+++ b/packages/core/src/camphorstair_core/fleet/subsetting.py
@@ -24,6 +24,11 @@
 SLOTS_PER_ENTRY = 32
 # A data centre still has serving entries if any two of its VMs fail.
 MIN_SERVING_ENTRIES = 3
+# Entries of a data centre that read from the store itself.
+READERS_PER_DATA_CENTRE = 1
+# Longest time until an entry notices that the one it follows has failed, and has
+# read from the store itself.
+READER_FAILURE_S = 2.7
 # Entries that use one endpoint, and endpoints of a service that one entry uses
 # at least, if there are so many.
 ENTRIES_PER_ENDPOINT = 8
@@ -70,6 +75,32 @@
     ]
 
 
+def readers(
+    members: abc.Iterable[membership.Member],
+    data_centre: str,
+    apply_limit_s: float,
+) -> list[membership.Member]:
+    """Return the entries of a data centre that the others there follow.
+
+    :param members: All entries.
+    :param data_centre: The data centre.
+    :param apply_limit_s: How soon a change must be in force.
+    :returns: Empty if all have to read from the store itself, as the failure
+        of a reader would delay changes for too long.
+    """
+    if apply_limit_s < READER_FAILURE_S:
+        return []
+    local = {
+        member.name: member
+        for member in members
+        if member.data_centre == data_centre
+    }
+    names = vms.rendezvous(
+        f'read {data_centre}', list(local), READERS_PER_DATA_CENTRE
+    )
+    return [local[name] for name in names]
+
+
 def selected_entries(
     endpoint: str,
     entries: list[str],
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -10,8 +10,20 @@
 import msgspec
 
 from camphorstair.fleet import dispatch, state
-from camphorstair_core.fleet import membership, roster
-from camphorstair_fleet import keys, mirroring
+from camphorstair_core import vms
+from camphorstair_core.fleet import (
+    membership,
+    roster,
+    store_copy,
+    subsetting,
+)
+from camphorstair_fleet import (
+    keys,
+    mirroring,
+    restored_keys,
+    source_choice,
+    sources,
+)
 from camphorstair_platform import (
     configuration,
     fields,
@@ -20,8 +32,8 @@
 )
 from camphorstair_runtime import clocks
 
-# Prefixes of all keys that an entry reads.
-PREFIXES = (configuration.PREFIX, registrations.PREFIX, keys.MEMBERS_PREFIX)
+# Prefixes of all keys that an entry reads, for itself and for agents.
+PREFIXES = (configuration.PREFIX, registrations.PREFIX, keys.PREFIX)
 
 _LOG = logging.getLogger(__name__)
 
@@ -32,7 +44,7 @@
 
     :ivar entry: The entry's state.
     :ivar dispatcher: Serves the queues after each call to the store.
-    :ivar mirror: Reads and watches the store.
+    :ivar mirror: Reads and watches the store, or follows another entry.
     """
 
     entry: state.FleetEntry
@@ -41,24 +53,41 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the mirror that passes changes to this object."""
-        store_settings = self.entry.settings.store
+        client = store.StoreClient(self.entry.settings.store.address)
+        choice = source_choice.SourceChoice(
+            sources.store_source(client, PREFIXES), PREFIXES, self._peers
+        )
         self.mirror = mirroring.Mirror(
-            store.StoreClient(store_settings.address),
-            PREFIXES,
+            choice.choose,
             self.entry.freshness,
             self._apply,
             self._finish_round,
+            store_copy.StoreCopy(restored_keys.applies_at_once),
         )
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         await self.mirror.run()
 
+    def _peers(self) -> list[str]:
+        """Return the entries to follow; none if this one reads the store."""
+        own = self.entry.own_member()
+        readers = subsetting.readers(
+            self.entry.members.present.values(),
+            own.data_centre,
+            self.entry.settings.bounds.apply_s,
+        )
+        if own in readers:
+            return []
+        by_name = {reader.name: reader for reader in readers}
+        ordered = vms.rendezvous(own.name, list(by_name), len(by_name))
+        return [by_name[name].internal_address for name in ordered]
+
     async def _finish_round(self) -> None:
-        self.entry.listed = self.mirror.listed
+        self.entry.listed = self.mirror.listed()
         await self.dispatcher.serve_queues()
 
-    def _apply(self, item: store.Item) -> None:
+    def _apply(self, item: store_copy.Item) -> None:
         if item.key.startswith(registrations.PREFIX):
             self._apply_endpoint(item)
         elif item.key.startswith(keys.MEMBERS_PREFIX):
@@ -68,7 +97,7 @@
         elif item.key == configuration.CONFIGURATION_KEY:
             self._apply_configuration(item)
 
-    def _apply_configuration(self, item: store.Item) -> None:
+    def _apply_configuration(self, item: store_copy.Item) -> None:
         """Put a newer configuration in force; older versions are ignored."""
         if item.content is None:
             _LOG.error(
@@ -85,7 +114,7 @@
             extra={'version': decoded.version, 'revision': item.revision},
         )
 
-    def _apply_data_centre_out(self, item: store.Item) -> None:
+    def _apply_data_centre_out(self, item: store_copy.Item) -> None:
         """Record that a data centre is taken out of service or put back."""
         data_centre = item.key.removeprefix(configuration.EVACUATION_PREFIX)
         if item.content is None:
@@ -98,7 +127,7 @@
             extra={'data_centre': data_centre, 'revision': item.revision},
         )
 
-    def _apply_endpoint(self, item: store.Item) -> None:
+    def _apply_endpoint(self, item: store_copy.Item) -> None:
         """Apply a change of an endpoint's registration.
 
         :raises fields.FormatError: if it can't be decoded; the endpoint is
@@ -125,7 +154,7 @@
             extra={'endpoint': name, 'revision': item.revision},
         )
 
-    def _apply_member(self, item: store.Item) -> None:
+    def _apply_member(self, item: store_copy.Item) -> None:
         """Apply a change of a member's key; update the count of entries."""
         name = item.key.removeprefix(keys.MEMBERS_PREFIX)
         members = self.entry.members
--- a/packages/entry/src/camphorstair/fleet/joining.py
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -30,11 +30,13 @@
     :ivar entry: The entry's state.
     :ivar client: Client of the store.
     :ivar lease: Identifier of the key's lease; 0 while there is none.
+    :ivar era: Era of the store in which the lease was granted.
     """
 
     entry: state.FleetEntry
     client: store.StoreClient
     lease: int = 0
+    era: int = 0
 
     async def run(self) -> None:
         """Join once the entry is ready and renew the lease until it leaves.
@@ -82,11 +84,27 @@
         """
         if self.lease:
             await self.client.renew(self.lease)
+            self._check_era()
             return
         lease = await self.client.grant(TTL_S)
+        era = self.client.era
         member = self.entry.own_member()
         content = msgspec.json.encode(member)
         put = store.Put(keys.member(member.name), content, lease)
         await self.client.transact((), (put,))
         self.lease = lease
-        _LOG.info('joined', extra={'lease': lease})
+        self.era = era
+        _LOG.info('joined', extra={'lease': lease, 'era': era})
+
+    def _check_era(self) -> None:
+        """Check that the store still knows the lease as this entry's.
+
+        :raises store.NoLeaseError: if the store has come back from a copy. The
+            lease is lost then, and its identifier may be another's.
+        """
+        if self.client.era != self.era:
+            raise store.NoLeaseError(
+                f'lease of era {self.era} in era {self.client.era}',
+                possibly_applied=False,
+                answered=True,
+            )
--- a/packages/entry/src/camphorstair/fleet/moving.py
+++ b/packages/entry/src/camphorstair/fleet/moving.py
@@ -18,6 +18,8 @@
     dispatcher: dispatch.Dispatcher,
 ) -> None:
     """Move the streams of slow ranks that can be resumed elsewhere."""
+    if not entry.moves:
+        return
     for service in list(entry.queues):
         for candidate in dispatcher.stalling_ranks(service):
             endpoint = candidate.endpoint.registration.endpoint
--- a/packages/entry/src/camphorstair/fleet/relaying.py
+++ b/packages/entry/src/camphorstair/fleet/relaying.py
@@ -16,7 +16,7 @@
 from camphorstair.fleet import state
 from camphorstair_fleet import internal_answers, internal_messages
 from camphorstair_platform import engines
-from camphorstair_runtime import http_client, http_messages, http_server
+from camphorstair_runtime import http_client, http_messages
 
 # Longest wait for an engine's answer.
 ENGINE_LIMIT_S = 0.25
@@ -26,28 +26,14 @@
 
 @attrs.define(eq=False)
 class Relay:
-    """Request handler of the listener for planners.
+    """Relays orders to engines.
 
     :ivar entry: The entry's state.
     """
 
     entry: state.FleetEntry
 
-    async def handle(
-        self,
-        request: http_messages.Request,
-        responder: http_server.Responder,
-    ) -> None:
-        """Answer one call of a planner."""
-        try:
-            answer = await self._answer(request)
-        except internal_messages.MessageError as error:
-            answer = internal_answers.failure(
-                http.HTTPStatus.BAD_REQUEST, error
-            )
-        await responder.respond(answer)
-
-    async def _answer(
+    async def answer(
         self,
         request: http_messages.Request,
     ) -> http_messages.Response:
@@ -56,8 +42,6 @@
         :raises internal_messages.MessageError: if the body of the call is not a
             valid order.
         """
-        if request.path != internal_messages.RELAY_PATH:
-            return internal_answers.unknown_call(request)
         relayed = internal_messages.decode(
             request.body, internal_messages.RelayedOrder
         )
@@ -73,10 +57,10 @@
 
     def _is_rank(self, address: str) -> bool:
         """Return whether a rank is registered at an address."""
-        return any(
-            endpoint.registration.address == address
+        endpoint = self.entry.endpoints.by_address.get(address)
+        return (
+            endpoint is not None
             and endpoint.registration.membership is not None
-            for endpoint in self.entry.endpoints.endpoints.values()
         )
 
 
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -9,11 +9,13 @@
 from opentelemetry import metrics as metrics_api
 
 from camphorstair.fleet import (
+    copy_serving,
     directory,
     dispatch,
     following,
     gauges,
     instruments,
+    internal_serving,
     joining,
     moving,
     receiving,
@@ -55,12 +57,14 @@
     :ivar dispatcher: Assigns endpoints.
     :ivar callers: The server for callers.
     :ivar joining: The membership of the entry.
+    :ivar follower: Follows the store.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     callers: http_server.Server
     joining: joining.EntryMembership
+    follower: following.Follower
 
 
 def build(told: boot.BootSettings, meter: metrics_api.Meter) -> Process:
@@ -82,6 +86,7 @@
             receiver.handle, entry.caller_limits, refuses_late_requests=False
         ),
         joining.EntryMembership(entry, store.StoreClient(told.store.address)),
+        following.Follower(entry, dispatcher),
     )
 
 
@@ -108,7 +113,7 @@
     group = curio.TaskGroup(wait=any)
     async with group:
         await _listen_all(group, process)
-        await group.spawn(following.Follower(entry, dispatcher).run)
+        await group.spawn(process.follower.run)
         await group.spawn(sensing.LoadListener(entry, dispatcher).run)
         await group.spawn(process.joining.run)
         await group.spawn(_run_periodic_work, process)
@@ -159,9 +164,12 @@
     await _listen(group, told.callers_address, process.callers)
     await _listen(group, told.ready_address, directory_server)
     await _listen(group, told.directory_address, directory_server)
-    relay = http_server.Server(relaying.Relay(process.entry).handle)
+    internal = internal_serving.InternalService(
+        relaying.Relay(process.entry),
+        copy_serving.CopyService(process.follower.mirror),
+    )
     internal_address = f'{told.address}:{told.internal_port}'
-    await _listen(group, internal_address, relay)
+    await _listen(group, internal_address, http_server.Server(internal.handle))
 
 
 async def _listen(
--- a/packages/fleet/src/camphorstair_fleet/leasing.py
+++ b/packages/fleet/src/camphorstair_fleet/leasing.py
@@ -19,8 +19,9 @@
     :ivar holder: The key's value, which identifies the owner.
     :ivar ttl_s: Time to live of the lease.
     :ivar lease: Identifier of the lease; 0 while there is none.
-    :ivar revision: Store revision at which the key was written; increases
-        with each owner.
+    :ivar era: Era of the store in which the key was written.
+    :ivar revision: Store revision at which the key was written; the pair of
+        era and revision increases with each owner.
     :ivar deadline_s: Time until which the key counts as held, on the clock
         that also runs while the VM is suspended.
     """
@@ -30,6 +31,7 @@
     holder: bytes
     ttl_s: float
     lease: int = 0
+    era: int = 0
     revision: int = 0
     deadline_s: float = 0
 
@@ -38,7 +40,10 @@
 
         Must be checked before each action that only the owner may take.
         """
-        return clocks.boottime_s() < self.deadline_s
+        return (
+            clocks.boottime_s() < self.deadline_s
+            and self.client.era == self.era
+        )
 
     async def acquire(self) -> bool:
         """Write the key under a new lease if it does not exist.
@@ -49,6 +54,7 @@
         """
         sent_s = clocks.boottime_s()
         lease = await self.client.grant(self.ttl_s)
+        era = self.client.era
         key_absent = store.Compare(self.key, 0)
         put = store.Put(self.key, self.holder, lease)
         try:
@@ -56,7 +62,10 @@
         except store.ConflictError:
             await self.client.end(lease)
             return False
+        if self.client.era != era:
+            return False
         self.lease = lease
+        self.era = era
         self.revision = revision
         self._extend(sent_s)
         return True
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -1,4 +1,4 @@
-"""Tracks the store's content under some prefixes by watching it."""
+"""Keeps a process's copy of the store's content up to date."""
 
 import logging
 from collections import abc
@@ -6,79 +6,68 @@
 import attrs
 import curio
 
-from camphorstair_core.fleet import content_age
+from camphorstair_core.fleet import content_age, store_copy
+from camphorstair_fleet import sources
 from camphorstair_platform import fields, store
 from camphorstair_runtime import clocks
 
-ALL_KEYS = ''
-# Longest time that a watch waits for changes.
-WATCH_WAIT_S = 1.6
-# A store that is about to lose its history may withhold changes from watches
-# for this long.
-WATCH_DELAY_LIMIT_S = 1.0
-# Pause before the next watch after changes. Changes often come in bursts, and
-# each answer of a watch costs a call.
-BURST_PAUSE_S = 0.05
-# Wait of a watch during an outage: short, so that the store answers at once
-# when it is back.
-SHORT_WAIT_S = 0.001
+# Pause before the next watch after changes. Changes often come in bursts, as when
+# all endpoints register, and each answer of a watch costs a call.
+BURST_PAUSE_S = 0.3
 # Pause after a failed call.
 RETRY_INTERVAL_S = 0.25
-# Keys whose leases ended during an outage are written again within this time of
-# its end.
-RETURN_LIMIT_S = 2.5
 
 _LOG = logging.getLogger(__name__)
 
-Apply = abc.Callable[[store.Item], None]
+Apply = abc.Callable[[store_copy.Item], None]
 AfterRound = abc.Callable[[], abc.Awaitable[None]]
+# Returns the source of the next round; receives whether the last call failed.
+ChooseSource = abc.Callable[[bool], sources.Source]
 
 
 @attrs.define(eq=False)
 class Mirror:
-    """Calls a function for each change, in order of revision for each key.
+    """Calls a function for each change, in the order of the store.
 
-    :ivar client: Client of the store.
-    :ivar prefixes: Prefixes of the keys that are tracked.
+    :ivar choose_source: Chooses where the next update comes from.
     :ivar freshness: When the content was last confirmed.
     :ivar apply: Called with each change; raises ``FormatError`` if the value
         can't be decoded.
     :ivar after_round: Called after each call to the store, whether or not it
         succeeded or brought changes.
-    :ivar listed: Whether all keys were read at least once.
-    :ivar had_changes: Whether the last watch returned changes.
-    :ivar revisions: Revision of the last change applied, by key.
+    :ivar known: The content that was read.
+    :ivar had_changes: Whether the last update brought changes.
+    :ivar failed: Whether the last call failed.
+    :ivar round_events: Set at the end of the current round.
     """
 
-    client: store.StoreClient
-    prefixes: tuple[str, ...]
+    choose_source: ChooseSource
     freshness: content_age.ContentAge
     apply: Apply
     after_round: AfterRound
-    listed: bool = False
+    known: store_copy.StoreCopy
     had_changes: bool = False
-    revisions: dict[str, int] = attrs.field(factory=dict)
+    failed: bool = False
+    round_events: list[curio.Event] = attrs.field(factory=list)
 
     async def run(self) -> None:
         """Follow the store until cancelled.
 
         During outages the content that was read stays in use.
         """
-        revision: int | None = None
         while True:
             if self.had_changes:
                 await curio.sleep(BURST_PAUSE_S)
-            sent_s = clocks.boottime_s()
-            try:
-                revision = await self._follow_once(revision)
-            except store.HistoryLostError as history_lost:
-                _LOG.warning('reading all keys again: %s', history_lost)
-                revision = None
-            except (store.StoreError, fields.FormatError) as error:
-                self._record_failure(sent_s, error)
-                await curio.sleep(RETRY_INTERVAL_S)
+            await self._run_round()
+            for row in store_copy.due(self.known, clocks.monotonic_s()):
+                self._apply_change(row)
+            await self._end_round()
             await self.after_round()
 
+    def listed(self) -> bool:
+        """Return whether all keys were read at least once."""
+        return self.known.rows_era >= 0
+
     def absent_deadline_s(self) -> float | None:
         """Return until when a removed key may be written again.
 
@@ -91,71 +80,72 @@
         since_outage_s = clocks.boottime_s() - self.freshness.outage_end_s
         if (
             self.freshness.outage_start_s is None
-            and since_outage_s > RETURN_LIMIT_S
+            and since_outage_s > store_copy.RETURN_LIMIT_S
         ):
             return None
-        return clocks.monotonic_s() + RETURN_LIMIT_S
+        return clocks.monotonic_s() + store_copy.RETURN_LIMIT_S
 
-    async def _follow_once(self, revision: int | None) -> int:
-        """Read all keys, or watch for changes after a revision.
+    async def wait_round(self, limit_s: float) -> None:
+        """Wait until the current round ends, but not longer than a limit."""
+        event = curio.Event()
+        self.round_events.append(event)
+        await curio.ignore_after(limit_s, event.wait)
 
-        :param revision: Where to watch from; None to read all keys.
-        :returns: The revision from which to watch next.
-        :raises store.HistoryLostError: if all keys must be read again.
-        :raises store.StoreError: if the store does not answer.
-        """
+    async def _run_round(self) -> None:
+        """Get one update and apply it."""
         sent_s = clocks.boottime_s()
-        if revision is None:
-            revision = await self._read_all()
-            self._record_proof(sent_s)
-            return revision
-        in_outage = self.freshness.outage_start_s is not None
-        wait_s = SHORT_WAIT_S if in_outage else WATCH_WAIT_S
-        changes = await self.client.watch(ALL_KEYS, revision, wait_s)
-        for item in changes.rows:
-            self._apply_change(item)
-        self.had_changes = bool(changes.rows)
-        if not changes.rows and clocks.boottime_s() - sent_s >= wait_s:
-            # The store waited without a change, so the content is confirmed up
-            # to the end of the wait, less the time it may withhold changes.
-            sent_s += max(0, wait_s - WATCH_DELAY_LIMIT_S)
-        self._record_proof(sent_s)
-        return changes.revision
-
-    async def _read_all(self) -> int:
-        """Read all keys and apply the differences, removals included.
-
-        :returns: The revision from which to watch.
-        """
-        listings = [await self.client.scan(prefix) for prefix in self.prefixes]
-        present = set()
-        for listing in listings:
-            for item in listing.rows:
-                present.add(item.key)
-                self._apply_change(item)
-        absent = [key for key in self.revisions if key not in present]
-        for key in absent:
-            self._apply_change(store.Item(key, None, self.revisions[key] + 1))
-            self.revisions.pop(key)
-        self.listed = True
-        return min(prefix_listing.revision for prefix_listing in listings)
-
-    def _apply_change(self, item: store.Item) -> None:
-        """Apply a change unless it or a later one of the key was applied."""
-        if item.revision <= self.revisions.get(item.key, 0):
-            return
-        if not item.key.startswith(self.prefixes):
-            return
-        self.revisions[item.key] = item.revision
+        source = self.choose_source(self.failed)
+        known = self.known
+        position = sources.Position(
+            known.era,
+            known.revision,
+            in_outage=self.freshness.outage_start_s is not None,
+        )
+        self.had_changes = False
+        try:
+            fetched = await source(position)
+        except sources.PeerError as peer_error:
+            self.failed = True
+            _LOG.info('another source is used: %s', peer_error)
+        except store.HistoryLostError as history_lost:
+            _LOG.warning('reading all keys again: %s', history_lost)
+            store_copy.read_again(known)
+        except (store.StoreError, fields.FormatError) as error:
+            self.failed = True
+            self._record_failure(sent_s, error)
+            await curio.sleep(RETRY_INTERVAL_S)
+        else:
+            self.failed = False
+            self._take(fetched)
+
+    def _take(self, fetched: sources.Fetched) -> None:
+        known = self.known
+        era = known.era
+        changes = store_copy.take(known, fetched.update, clocks.monotonic_s())
+        if known.era != era:
+            _LOG.warning('the store is in era %s after %s', known.era, era)
+        for row in changes:
+            self._apply_change(row)
+        self.had_changes = bool(changes)
+        if fetched.update.era == known.era and known.revision is not None:
+            self._record_proof(fetched.confirmed_s)
+
+    async def _end_round(self) -> None:
+        events = self.round_events
+        self.round_events = []
+        for event in events:
+            await event.set()
+
+    def _apply_change(self, row: store_copy.Item) -> None:
         try:
-            self.apply(item)
+            self.apply(row)
         except fields.FormatError as error:
-            _LOG.warning('unusable value of %s: %s', item.key, error)
+            _LOG.warning('unusable value of %s: %s', row.key, error)
 
-    def _record_proof(self, sent_s: float) -> None:
+    def _record_proof(self, confirmed_s: float) -> None:
         """Record that the content was confirmed as of the given time."""
         now_s = clocks.boottime_s()
-        if content_age.record_confirmation(self.freshness, sent_s, now_s):
+        if content_age.record_confirmation(self.freshness, confirmed_s, now_s):
             _LOG.info('store answers again')
 
     def _record_failure(self, sent_s: float, error: Exception) -> None:
--- a/tests/test_fleet_subsetting.py
+++ b/tests/test_fleet_subsetting.py
@@ -128,3 +128,11 @@
         for place in range(99)
     ]
     assert 0 < sum(shares) <= COLD_TOTAL
+
+
+def test_entries_follow_one_reader_per_data_centre_if_time_allows() -> None:
+    members = _members(99)
+    for data_centre in DATA_CENTRES:
+        readers = subsetting.readers(members, data_centre, 4)
+        assert [reader.data_centre for reader in readers] == [data_centre]
+        assert not subsetting.readers(members, data_centre, 2)
--- a/tests/test_group_orders.py
+++ b/tests/test_group_orders.py
@@ -58,7 +58,7 @@
         super().__init__()
         ranks = [rank_world.Rank() for _ in range(SIZE)]
         self.world = rank_world.World(ranks)
-        self.version = group_orders.version_number(1, 1)
+        self.version = group_orders.version_number(1, 1, 1)
         self.planners = [Planner(self.version), Planner(None)]
 
     @stateful.rule(which=st.integers(0, 1), fate=st.integers(0, 3))
--- a/tests/test_mirroring.py
+++ b/tests/test_mirroring.py
@@ -4,13 +4,13 @@
 import curio
 import pytest
 
-from camphorstair_core.fleet import content_age
-from camphorstair_fleet import mirroring
+from camphorstair_core.fleet import content_age, store_copy
+from camphorstair_fleet import mirroring, sources
 from camphorstair_platform import store
 from camphorstair_runtime import clocks
 
 ROUND_TRIP_S = 0.01
-CHANGE = store.Item('op/config', b'{}', 8)
+CHANGE = store_copy.Item('op/config', b'{}', 8)
 
 
 @attrs.define
@@ -23,12 +23,12 @@
     :ivar watched: Whether the first watch has started.
     """
 
-    rows: tuple[store.Item, ...]
+    rows: tuple[store_copy.Item, ...]
     answers_after_s: float
     now_s: float = 100
     watched: bool = False
 
-    async def scan(self, _prefix: str) -> store.Listing:
+    async def scan(self, _prefix: str, *, stale: bool = False) -> store.Listing:
         """Return an empty listing."""
         self.now_s += ROUND_TRIP_S
         return store.Listing((), 7)
@@ -56,12 +56,16 @@
             await done.set()
 
     done = curio.Event()
-    mirror = mirroring.Mirror(
+    source = sources.store_source(
         fake_store,  # type: ignore[arg-type]
         ('op/',),
+    )
+    mirror = mirroring.Mirror(
+        lambda _failed: source,
         mirror_age,
-        lambda _item: None,
+        lambda _row: None,
         changed,
+        store_copy.StoreCopy(lambda _before, _after: True),
     )
     task = await curio.spawn(mirror.run)
     await done.wait()
@@ -72,14 +76,14 @@
 @pytest.mark.parametrize(
     ('rows', 'answers_after_s', 'age_s'),
     [
-        ((), mirroring.WATCH_WAIT_S + 0.2, mirroring.WATCH_DELAY_LIMIT_S + 0.2),
+        ((), sources.WATCH_WAIT_S + 0.2, sources.WATCH_DELAY_LIMIT_S + 0.2),
         ((), 0.4, 0.4),
-        ((CHANGE,), mirroring.WATCH_WAIT_S, mirroring.WATCH_WAIT_S),
+        ((CHANGE,), sources.WATCH_WAIT_S, sources.WATCH_WAIT_S),
     ],
 )
 def test_content_age_after_watch_reply(
     monkeypatch: pytest.MonkeyPatch,
-    rows: tuple[store.Item, ...],
+    rows: tuple[store_copy.Item, ...],
     answers_after_s: float,
     age_s: float,
 ) -> None:
@@ -93,7 +97,7 @@
 )
 def test_watch_pauses_after_change_to_batch_further_changes(
     monkeypatch: pytest.MonkeyPatch,
-    rows: tuple[store.Item, ...],
+    rows: tuple[store_copy.Item, ...],
     sleeps_s: list[float],
 ) -> None:
     slept_s: list[float] = []
