Bound the memory that an endpoint's endless answer takes

Cause: a body without an end was read into memory until the deadline passed, an event without an end too; a caller's Last-Event-Id of '²' or of 5,000 digits, and such an event, raised ValueError. Ruled out: endless heads and bytes that are no HTTP (h11 ends both at 16 KiB). Change: bodies end at 8 MiB, events at 1 MiB: the connection is closed, the endpoint's failure counted, the caller gets 502 at once, as it may have run.

--- a/packages/core/src/camphorstair_core/event_stream.py
+++ b/packages/core/src/camphorstair_core/event_stream.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-_IDENTIFIER = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_IDENTIFIER = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _BOUNDARIES = (b'\n\n', b'\r\n\r\n')
 
 
--- a/packages/core/src/camphorstair_core/fleet/stream_progress.py
+++ b/packages/core/src/camphorstair_core/fleet/stream_progress.py
@@ -10,7 +10,8 @@
 
 from camphorstair_core import event_stream
 
-_IDENTIFIER = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_IDENTIFIER = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
+_NUMBER = re.compile(r'[0-9]{1,18}')
 _EVENT = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
 
 
@@ -47,7 +48,7 @@
 
     def _is_missing(self, event: bytes) -> bool:
         identifier = _IDENTIFIER.search(event)
-        if identifier is None or not self.last_event.isdigit():
+        if identifier is None or not _NUMBER.fullmatch(self.last_event):
             return True
         return int(identifier[1]) > int(self.last_event)
 
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -17,6 +17,8 @@
 
 # Answers to other requests that are skipped before an attempt fails.
 MAX_MISMATCHED_ANSWERS = 4
+# Longest event of a stream. A faulty endpoint may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class AttemptError(Exception):
@@ -232,6 +234,11 @@
                 await self._send_events(
                     exchange, stream.take(events, resumed=resumed)
                 )
+            if len(splitter.pending) > MAX_EVENT_BYTES:
+                raise http_client.HttpError(
+                    f'an event is longer than {MAX_EVENT_BYTES} bytes',
+                    sent=True,
+                )
             chunk = await exchange.read()
         if self.left:
             raise http_client.HttpError(
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -17,6 +17,9 @@
 )
 
 CONNECT_LIMIT_S = 2.0
+# Longest body that is kept in memory. A faulty server may send bytes without
+# end.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 _BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
@@ -83,12 +86,18 @@
     async def read_all(self) -> bytes:
         """Return the rest of the response body.
 
-        :raises HttpError: if the body is truncated or possibly truncated.
+        :raises HttpError: if the body is truncated or possibly truncated, or
+            longer than ``MAX_BODY_BYTES``.
         """
         body = bytearray()
         chunk = await self.read()
         while chunk is not None:
             body.extend(chunk)
+            if len(body) > MAX_BODY_BYTES:
+                raise HttpError(
+                    f'the body is longer than {MAX_BODY_BYTES} bytes',
+                    sent=True,
+                )
             chunk = await self.read()
         return bytes(body)
 
