--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -276,7 +276,8 @@
 def _added_times(draft: _Draft, change: _Change) -> dict[int, float]:
     """Return by how much a change raises the time of each rank it concerns."""
     added_time: dict[int, float] = containers.defaultdict(float)
-    for expert in {pair[0] for pair in change.added + change.removed}:
+    changed = {expert for expert, _rank in change.added + change.removed}
+    for expert in changed:
         before = draft.holders[expert]
         after = _holders_after(draft, change, expert)
         for holder in before:
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -28,7 +28,8 @@
 # Beyond this factor a rank makes the gaps in all streams of its group too long.
 STALLING_FACTOR = 2.5
 MAX_SLOW_SHARE = 0.5
-# With at least this many free slots, an entry may use any of them.
+# With at least this many free slots, or more than half of all, an entry may use
+# any of them.
 AMPLE_FREE_SLOTS = 3
 
 
@@ -110,7 +111,7 @@
     load = candidate.load
     slots = candidate.endpoint.registration.slots
     free = slots - estimated_work(load, now_s)
-    if free >= min(AMPLE_FREE_SLOTS, slots):
+    if free >= min(AMPLE_FREE_SLOTS, slots // 2 + 1):
         return True
     return free >= 1 and load.running < candidate.own_slots
 
--- a/tests/test_fleet_overload.py
+++ b/tests/test_fleet_overload.py
@@ -52,6 +52,19 @@
         assert any(candidate.own_slots for candidate in candidates)
 
 
+@pytest.mark.parametrize(
+    ('slots', 'busy', 'usable'),
+    [(3, 1, True), (3, 2, False), (6, 3, True), (6, 4, False), (1, 0, True)],
+)
+def test_slots_of_other_entries_are_used_while_enough_are_free(
+    slots: int, busy: int, *, usable: bool
+) -> None:
+    """The load of a surge at one entry, which owns no slot of the endpoint."""
+    candidate = _candidate(1, slots)
+    placement.record_report(candidate.load, busy, 0, 1)
+    assert placement.has_free_slot(candidate, 1.1) is usable
+
+
 def _candidate(number: int, slots: int) -> placement.Candidate:
     registration = attrs.evolve(
         fleet_overload.registration(number), slots=slots
