--- a/packages/agent/src/camphorstair_agent/fleet/sensing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/sensing.py
@@ -11,10 +11,10 @@
 from camphorstair_platform import engines, fields
 from camphorstair_runtime import clocks, http_client, settings
 
-INTERVAL_S = 0.2
-# Entries ignore a report that is older than two seconds, so an unchanged one is
+INTERVAL_S = 0.1
+# Entries ignore a report that is older than a second, so an unchanged one is
 # repeated before that, even if one datagram is lost.
-MAX_SILENCE_S = 0.8
+MAX_SILENCE_S = 0.4
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -21,7 +21,7 @@
 
 REMOTE_PENALTY = 0.5
 EJECTED_PENALTY = 1000.0
-REPORT_MAX_AGE_S = 2.0
+REPORT_MAX_AGE_S = 1.0
 # A rank that is slower than the fastest rank of its group by more than this
 # factor receives no requests.
 SLOW_FACTOR = 1.4
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -13,7 +13,7 @@
 
 # Pause before the next watch after changes. Changes often come in bursts, as when
 # all endpoints register, and each answer of a watch costs a call.
-BURST_PAUSE_S = 0.3
+BURST_PAUSE_S = 0.05
 # Pause after a failed call.
 RETRY_INTERVAL_S = 0.25
 
