--- a/packages/core/src/camphorstair_core/experts/even_maps.py
+++ b/packages/core/src/camphorstair_core/experts/even_maps.py
@@ -10,6 +10,7 @@
 
 import collections as containers
 import itertools
+import typing
 from collections import abc
 
 import attrs
@@ -29,6 +30,7 @@
 _MIN_GAIN_BESIDE_SLOW = 0.3
 _SLOW_FACTOR = 1.4
 
+Planned = typing.TypeVar('Planned')
 RankExperts = tuple[tuple[int, ...], ...]
 Loads = abc.Sequence[float]
 
@@ -147,7 +149,11 @@
         speed.
     :returns: The map; equal to the current one if no change is worth its cost.
     """
-    steps = plan_steps(held, loads, limits, paces)
+    return finish(plan_steps(held, loads, limits, paces))
+
+
+def finish(steps: abc.Generator[None, None, Planned]) -> Planned:
+    """Do all steps of a plan and return its result."""
     while True:
         try:
             next(steps)
--- a/packages/core/src/camphorstair_core/experts/group_planner.py
+++ b/packages/core/src/camphorstair_core/experts/group_planner.py
@@ -64,12 +64,7 @@
         :param paces: Slowdown factor of each rank; empty if all have their
             usual speed.
         """
-        steps = self.plan_steps(sets, paces)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                return end.value
+        return even_maps.finish(self.plan_steps(sets, paces))
 
     def plan_steps(
         self, sets: Sets, paces: even_maps.Loads = ()
--- a/packages/core/src/camphorstair_core/experts/step_margins.py
+++ b/packages/core/src/camphorstair_core/experts/step_margins.py
@@ -11,7 +11,7 @@
 MIN_MARGIN = 2
 # Bounds the delay of a switch in a group that makes steps fast.
 MAX_MARGIN = 40
-# Duration of a switch before the first one was measured.
+# Duration that is assumed for the first switch.
 FIRST_SWITCH_S = 0.15
 # A switch may take longer than the last one did.
 SAFETY_FACTOR = 1.5
