Carry out a planner's datagram once, and order silent engines concurrently

Cause: a datagram whose reply takes longer than 60 ms is sent again; the agent carried its order out each time, one after the other, so that an engine that leaves orders unanswered blocked the agent's orders for 0.3 s. Orders to engines whose agents are silent or whose status was 0 were sent one by one, each for up to 0.4 s, while the group was held. Change: agents remember the latest calls; engines are ordered concurrently, and only if the agent is silent, as before the datagrams.

--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -86,19 +86,22 @@
             if not self.is_bypassed(order.rank)
         ]
         replies = await self._call_agents(calls, epoch)
-        confirmed = {
-            rank: reply for rank, reply in replies.items() if reply.status
-        }
-        for order in orders:
-            reply = confirmed.get(order.rank)
-            status = reply.status if reply else 0
-            if not status:
-                status = await self._order_engine(
-                    internal_messages.RankOrder(order, epoch),
-                    ranks[order.rank],
-                )
+
+        async def order_engine(order: group_orders.Order) -> None:
+            rank_order = internal_messages.RankOrder(order, epoch)
+            status = await self._order_engine(rank_order, ranks[order.rank])
             self.record_order(order, status)
-        return _reported_states(confirmed)
+
+        async with curio.TaskGroup() as group:
+            for order in orders:
+                reply = replies.get(order.rank)
+                if reply is None:
+                    await group.spawn(order_engine, order)
+                else:
+                    self.record_order(order, reply.status)
+        return _reported_states(
+            {rank: reply for rank, reply in replies.items() if reply.status}
+        )
 
     async def hold(
         self,
--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -23,8 +23,14 @@
 # Datagrams that are answered at the same time; further ones are dropped.
 MAX_PENDING_DATAGRAMS = 32
 
+# Calls that are recognised if they arrive again.
+MAX_REMEMBERED_REPLIES = 128
+
 _LOG = logging.getLogger(__name__)
 
+# Address of the sender and number of the call.
+CallKey = tuple[tuple[str, int], int]
+
 
 @attrs.define(eq=False)
 class RankService:
@@ -36,6 +42,8 @@
     :ivar last_counts: The engine's counts when they were last passed on.
     :ivar set_count: Number of sets of experts; 0 until the engine was asked.
     :ivar pending_datagrams: Number of datagrams that are being answered.
+    :ivar replies: The replies to the latest calls by sender and number; None
+        for a call that is being answered. A call may arrive more than once.
     """
 
     calls: engine_calls.EngineCalls
@@ -43,6 +51,9 @@
     last_counts: count_increases.Counts = ()
     set_count: int = 0
     pending_datagrams: int = 0
+    replies: dict[CallKey, internal_messages.RankReply | None] = attrs.field(
+        factory=dict
+    )
 
     async def handle(
         self,
@@ -87,19 +98,37 @@
         self, sock: curio.io.Socket, content: bytes, sender: tuple[str, int]
     ) -> None:
         try:
-            reply = await self._reply(content)
-            await sock.sendto(internal_messages.encode(reply), sender)
+            reply = await self._reply(content, sender)
+            if reply is not None:
+                await sock.sendto(internal_messages.encode(reply), sender)
         except (internal_messages.MessageError, OSError) as error:
             _LOG.warning('datagram not answered: %s', error)
         finally:
             self.pending_datagrams -= 1
 
-    async def _reply(self, content: bytes) -> internal_messages.RankReply:
-        """Carry out the order of a call, if any, and read the rank's state.
+    async def _reply(
+        self, content: bytes, sender: tuple[str, int]
+    ) -> internal_messages.RankReply | None:
+        """Return the reply to a call, which is carried out only once.
 
+        :returns: None if the same call is being answered already.
         :raises internal_messages.MessageError: if the call is malformed.
         """
         call = internal_messages.decode(content, internal_messages.RankCall)
+        key = (sender, call.number)
+        if key in self.replies:
+            return self.replies.get(key)
+        self.replies[key] = None
+        if len(self.replies) > MAX_REMEMBERED_REPLIES:
+            self.replies.pop(next(iter(self.replies)))
+        reply = await self._carry_out(call)
+        self.replies[key] = reply
+        return reply
+
+    async def _carry_out(
+        self, call: internal_messages.RankCall
+    ) -> internal_messages.RankReply:
+        """Carry out the order of a call, if any, and read the rank's state."""
         status = 0
         if call.order is not None:
             order = internal_messages.RankOrder(call.order, call.epoch)
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -54,7 +54,9 @@
     await responder.respond(http_messages.Response(200, [], REPORT))
 
 
-async def _with_agent(body: Body) -> None:
+async def _with_agent(
+    body: Body, handler: http_server.ResponderHandler = _engine
+) -> None:
     """Run a body with the address of a rank service in front of an engine."""
     engine = loopback.free_address()
     agent = loopback.free_address()
@@ -62,9 +64,9 @@
         engine_calls.EngineCalls(engine), engine_calls.EngineCalls(engine)
     )
     async with curio.TaskGroup(wait=any) as group:
-        for address, handler in ((engine, _engine), (agent, service.handle)):
+        for address, serve in ((engine, handler), (agent, service.handle)):
             host, port = settings.split_address(address)
-            server = http_server.Server(handler)
+            server = http_server.Server(serve)
             await group.spawn(listening.serve, host, port, server.serve)
         await group.spawn(
             service.serve_datagrams, *settings.split_address(agent)
@@ -114,6 +116,51 @@
     curio.run(_with_agent, body)
 
 
+def test_a_call_that_arrives_again_is_carried_out_once() -> None:
+    """A hung order is sent three times before its reply is due."""
+    posts: list[str] = []
+
+    async def hung_engine(
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        if request.method == 'POST':
+            posts.append(request.path)
+        await _engine(request, responder)
+
+    async def body(agent: str) -> None:
+        assert (await _call(agent, ORDER.order))[0].status == 0
+        await curio.sleep(2 * engine_calls.CALL_LIMIT_S)
+        assert len(posts) == 1
+
+    curio.run(_with_agent, body, hung_engine)
+
+
+def test_silent_agents_do_not_add_up_to_a_long_hold() -> None:
+    """Orders to engines whose agents are silent are sent concurrently."""
+    calls = _rank_calls(None)
+    order = group_orders.OrderKind.go
+
+    async def body() -> None:
+        engines: list[str] = []
+        async with curio.TaskGroup(wait=any) as group:
+            for _ in range(8):
+                engines.append(loopback.free_address())
+                host, port = settings.split_address(engines[-1])
+                server = http_server.Server(_engine)
+                await group.spawn(listening.serve, host, port, server.serve)
+            await curio.sleep(0.02)
+            async with curio.timeout_after(3 * rank_calls.ENGINE_LIMIT_S):
+                await calls.arm_or_release(
+                    [group_orders.Order(rank, order) for rank in range(8)],
+                    dict(enumerate(map(_registration, engines))),
+                    2,
+                )
+            await group.cancel_remaining()
+
+    curio.run(body)
+
+
 def test_state_calls_are_answered_while_order_is_pending() -> None:
     async def body(agent: str) -> None:
         async with curio.TaskGroup() as group:
