--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -25,6 +25,7 @@
     fields,
     registrations,
     store,
+    store_errors,
 )
 
 PREFIXES = (registrations.PREFIX, keys.PREFIX)
@@ -74,7 +75,7 @@
         while True:
             try:
                 await self._read_services()
-            except (store.StoreError, fields.FormatError) as error:
+            except (store_errors.StoreError, fields.FormatError) as error:
                 _LOG.warning('reading the configuration failed: %s', error)
             known = bool(self.agent.services)
             await curio.sleep(
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -15,7 +15,7 @@
 from camphorstair_core.experts import group_planner
 from camphorstair_core.fleet import roster
 from camphorstair_fleet import keys, leasing
-from camphorstair_platform import store
+from camphorstair_platform import store, store_errors
 
 LEASE_S = 3.0
 RENEW_INTERVAL_S = 0.8
@@ -103,7 +103,7 @@
             if group in self.agent.planners:
                 await leadership.end_previous_lease()
             taken = await leadership.acquire()
-        except store.StoreError as error:
+        except store_errors.StoreError as error:
             _LOG.warning(
                 'acquiring the planner lease of group %s failed: %s',
                 group,
@@ -122,5 +122,5 @@
         await curio.sleep(RENEW_INTERVAL_S)
         try:
             await leadership.renew()
-        except store.StoreError as error:
+        except store_errors.StoreError as error:
             _LOG.warning('renewing the planner lease failed: %s', error)
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -6,14 +6,12 @@
 import attrs
 import curio
 
-from camphorstair.fleet import state
+from camphorstair.fleet import endpoint_choice, state
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
-    ejection,
     placement,
     roster,
     waiting,
-    windows,
 )
 from camphorstair_runtime import clocks
 
@@ -60,14 +58,20 @@
     """Assigns endpoints to the requests of one entry.
 
     :ivar entry: The entry's state.
+    :ivar choice: Decides which endpoints may be used.
     :ivar pending_requests: The queued requests by their entry in the queue.
     """
 
     entry: state.FleetEntry
+    choice: endpoint_choice.EndpointChoice = attrs.field(init=False)
     pending_requests: dict[waiting.Waiter, PendingRequest] = attrs.field(
         factory=dict
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Create the choice of endpoints."""
+        self.choice = endpoint_choice.EndpointChoice(self.entry)
+
     async def acquire(
         self,
         service: str,
@@ -80,7 +84,7 @@
         :raises errors.RequestError: if no endpoint can take the request, the
             queue is full, or no endpoint is free in time.
         """
-        usable = self._usable(service)
+        usable = self.choice.usable(service)
         self._check_service(service, waiter, usable)
         pending = PendingRequest(waiter)
         queue = self.entry.queue(service)
@@ -124,7 +128,7 @@
         for waiter in waiting.given_up(queue, clocks.monotonic_s()):
             await self.pending_requests[waiter].decided.set()
         if queue.waiters:
-            await self._grant(service, self._usable(service))
+            await self._grant(service, self.choice.usable(service))
 
     def refusal(
         self,
@@ -138,9 +142,10 @@
         a rank group must form again.
         """
         now_s = clocks.monotonic_s()
-        registered = self._registered(service)
+        registered = self.choice.registered(service)
         any_closed = any(
-            _is_closed(candidate, now_s) for candidate in registered
+            endpoint_choice.is_closed(candidate, now_s)
+            for candidate in registered
         )
         base_s = (
             REOPEN_RETRY_AFTER_S
@@ -150,19 +155,6 @@
         spread = self.entry.generator.uniform(1, RETRY_SPREAD)
         return errors.RequestError(code, message, retry_after_s=base_s * spread)
 
-    def stalling_ranks(self, service: str) -> list[placement.Candidate]:
-        """Return the slow ranks whose streams should move to other ranks.
-
-        The list is empty while no usable endpoint has a free slot.
-        """
-        now_s = clocks.monotonic_s()
-        slow = placement.slow_ranks(
-            self._registered(service), placement.STALLING_FACTOR, now_s
-        )
-        if slow and self._free(service, self._usable(service), now_s):
-            return slow
-        return []
-
     async def _grant(
         self,
         service: str,
@@ -171,19 +163,19 @@
         """Assign endpoints to queued requests until none is free."""
         queue = self.entry.queue(service)
         now_s = clocks.monotonic_s()
-        free = self._free(service, usable, now_s)
+        free = self.choice.free(service, usable, now_s)
         # Under load most calls find no free endpoint, so the queue is sorted
         # only after this check.
         waiters = waiting.sorted_waiters(queue, now_s) if free else []
         for waiter in waiters:
-            candidate = _choose(self.entry, free, waiter, now_s)
+            candidate = self.choice.choose(free, waiter, now_s)
             if candidate is not None:
                 waiting.start(queue, waiter)
-                self._count_sent(candidate, now_s)
+                self.choice.count_sent(candidate, now_s)
                 pending = self.pending_requests[waiter]
                 pending.granted = candidate
                 await pending.decided.set()
-                free = self._free(service, free, now_s)
+                free = self.choice.free(service, free, now_s)
             if not free:
                 return
 
@@ -218,130 +210,6 @@
                 f'no endpoint of service {service} takes requests',
             )
 
-    def _usable(self, service: str) -> list[placement.Candidate]:
-        """Return the open endpoints of a service that are not slow ranks.
-
-        Ejected endpoints are returned only if all open ones are ejected.
-        """
-        now_s = clocks.monotonic_s()
-        open_candidates = [
-            candidate
-            for candidate in self._registered(service)
-            if not _is_closed(candidate, now_s)
-        ]
-        healthy = [
-            candidate
-            for candidate in open_candidates
-            if not ejection.is_ejected(candidate.health, now_s)
-        ]
-        healthy = healthy or open_candidates
-        slow = placement.slow_ranks(healthy, placement.SLOW_FACTOR, now_s)
-        return [candidate for candidate in healthy if candidate not in slow]
-
-    def _registered(self, service: str) -> list[placement.Candidate]:
-        """Return the ready endpoints of a service that this entry uses.
-
-        They are in data centres in use. Without any, as when the data centres
-        of all of them are out, all ready endpoints of the service are
-        returned.
-        """
-        entry = self.entry
-        shares = entry.shares(service)
-        candidates = []
-        for name, share in shares.items():
-            endpoint = entry.endpoints.endpoints[name]
-            if roster.accepts_requests(entry.endpoints, endpoint):
-                candidate = entry.candidate(endpoint)
-                candidate.own_slots = share.own_slots
-                candidate.place = share.place
-                candidates.append(candidate)
-        return candidates or [
-            entry.candidate(endpoint)
-            for endpoint in roster.usable(entry.endpoints, service)
-        ]
-
-    def _free(
-        self,
-        service: str,
-        candidates: list[placement.Candidate],
-        now_s: float,
-    ) -> list[placement.Candidate]:
-        """Return the endpoints that can be sent one more request now."""
-        return [
-            candidate
-            for candidate in candidates
-            if self._can_send(service, candidate, now_s)
-        ]
-
-    def _can_send(
-        self,
-        service: str,
-        candidate: placement.Candidate,
-        now_s: float,
-    ) -> bool:
-        """Return whether an endpoint can be sent one more request now.
-
-        An endpoint that was ejected gets one request of this entry at a
-        time until it answers; a cold one, which registered a short time ago,
-        gets a limited number per second.
-        """
-        if not placement.has_free_slot(candidate, now_s):
-            return False
-        if ejection.is_recovering(candidate.health) and candidate.load.running:
-            return False
-        if now_s >= candidate.endpoint.cold_deadline_s:
-            return True
-        name = candidate.endpoint.registration.endpoint
-        recent = self.entry.cold_window(name).count(now_s)
-        return recent < self._cold_limit(service, candidate.place)
-
-    def _count_sent(self, candidate: placement.Candidate, now_s: float) -> None:
-        """Count a request that is sent to an endpoint."""
-        candidate.load.running += 1
-        if now_s < candidate.endpoint.cold_deadline_s:
-            name = candidate.endpoint.registration.endpoint
-            self.entry.cold_window(name).add(now_s)
-
-    def _cold_limit(self, service: str, place: int | None) -> int:
-        """Return how many requests per second a cold endpoint is sent.
-
-        :param place: The place of this entry among those that use the endpoint.
-        """
-        bounds = self.entry.settings.bounds
-        catalogue = self.entry.configuration
-        configured = catalogue.services.get(service) if catalogue else None
-        return windows.cold_limit(
-            configured.cold_per_s if configured else 0,
-            bounds.cold_factor,
-            bounds.cold_slack,
-            self.entry.entry_count.bound(),
-            place,
-        )
-
-
-def _choose(
-    entry: state.FleetEntry,
-    free: list[placement.Candidate],
-    waiter: waiting.Waiter,
-    now_s: float,
-) -> placement.Candidate | None:
-    """Return the best endpoint that a request may use, or None."""
-    allowed = [
-        candidate
-        for candidate in free
-        if candidate.endpoint.registration.endpoint not in waiter.excluded
-    ]
-    return placement.choose(
-        allowed, entry.settings.data_centre, now_s, entry.generator
-    )
-
-
-def _is_closed(candidate: placement.Candidate, now_s: float) -> bool:
-    """Return whether an endpoint is gone or its rank group is not working."""
-    return roster.closed(candidate.endpoint) or (
-        placement.reported_closed(candidate.load, now_s)
-    )
-
 
 def status_of(error: errors.RequestError) -> int:
     """Return the HTTP status for a request that failed.
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/endpoint_choice.py
@@ -0,0 +1,160 @@
+"""Decides which endpoints of a service an entry may send a request to now."""
+
+import attrs
+
+from camphorstair.fleet import state
+from camphorstair_core.fleet import (
+    ejection,
+    placement,
+    roster,
+    waiting,
+    windows,
+)
+from camphorstair_runtime import clocks
+
+
+@attrs.define(eq=False)
+class EndpointChoice:
+    """The endpoints that one entry uses, by their state and load.
+
+    :ivar entry: The entry's state.
+    """
+
+    entry: state.FleetEntry
+
+    def usable(self, service: str) -> list[placement.Candidate]:
+        """Return the open endpoints of a service that are not slow ranks.
+
+        Ejected endpoints are returned only if all open ones are ejected.
+        """
+        now_s = clocks.monotonic_s()
+        open_candidates = [
+            candidate
+            for candidate in self.registered(service)
+            if not is_closed(candidate, now_s)
+        ]
+        healthy = [
+            candidate
+            for candidate in open_candidates
+            if not ejection.is_ejected(candidate.health, now_s)
+        ]
+        healthy = healthy or open_candidates
+        slow = placement.slow_ranks(healthy, placement.SLOW_FACTOR, now_s)
+        return [candidate for candidate in healthy if candidate not in slow]
+
+    def registered(self, service: str) -> list[placement.Candidate]:
+        """Return the ready endpoints of a service that this entry uses.
+
+        They are in data centres in use. Without any, as when the data centres
+        of all of them are out, all ready endpoints of the service are
+        returned.
+        """
+        entry = self.entry
+        shares = entry.shares(service)
+        candidates = []
+        for name, share in shares.items():
+            endpoint = entry.endpoints.endpoints[name]
+            if roster.accepts_requests(entry.endpoints, endpoint):
+                candidate = entry.candidate(endpoint)
+                candidate.own_slots = share.own_slots
+                candidate.place = share.place
+                candidates.append(candidate)
+        return candidates or [
+            entry.candidate(endpoint)
+            for endpoint in roster.usable(entry.endpoints, service)
+        ]
+
+    def free(
+        self,
+        service: str,
+        candidates: list[placement.Candidate],
+        now_s: float,
+    ) -> list[placement.Candidate]:
+        """Return the endpoints that can be sent one more request now."""
+        return [
+            candidate
+            for candidate in candidates
+            if self._can_send(service, candidate, now_s)
+        ]
+
+    def stalling_ranks(self, service: str) -> list[placement.Candidate]:
+        """Return the slow ranks whose streams should move to other ranks.
+
+        The list is empty while no usable endpoint has a free slot.
+        """
+        now_s = clocks.monotonic_s()
+        slow = placement.slow_ranks(
+            self.registered(service), placement.STALLING_FACTOR, now_s
+        )
+        if slow and self.free(service, self.usable(service), now_s):
+            return slow
+        return []
+
+    def count_sent(self, candidate: placement.Candidate, now_s: float) -> None:
+        """Count a request that is sent to an endpoint."""
+        candidate.load.running += 1
+        if now_s < candidate.endpoint.cold_deadline_s:
+            name = candidate.endpoint.registration.endpoint
+            self.entry.cold_window(name).add(now_s)
+
+    def choose(
+        self,
+        free: list[placement.Candidate],
+        waiter: waiting.Waiter,
+        now_s: float,
+    ) -> placement.Candidate | None:
+        """Return the best endpoint that a request may use, or None."""
+        allowed = [
+            candidate
+            for candidate in free
+            if candidate.endpoint.registration.endpoint not in waiter.excluded
+        ]
+        entry = self.entry
+        return placement.choose(
+            allowed, entry.settings.data_centre, now_s, entry.generator
+        )
+
+    def _can_send(
+        self,
+        service: str,
+        candidate: placement.Candidate,
+        now_s: float,
+    ) -> bool:
+        """Return whether an endpoint can be sent one more request now.
+
+        An endpoint that was ejected gets one request of this entry at a
+        time until it answers; a cold one, which registered a short time ago,
+        gets a limited number per second.
+        """
+        if not placement.has_free_slot(candidate, now_s):
+            return False
+        if ejection.is_recovering(candidate.health) and candidate.load.running:
+            return False
+        if now_s >= candidate.endpoint.cold_deadline_s:
+            return True
+        name = candidate.endpoint.registration.endpoint
+        recent = self.entry.cold_window(name).count(now_s)
+        return recent < self._cold_limit(service, candidate.place)
+
+    def _cold_limit(self, service: str, place: int | None) -> int:
+        """Return how many requests per second a cold endpoint is sent.
+
+        :param place: The place of this entry among those that use the endpoint.
+        """
+        bounds = self.entry.settings.bounds
+        catalogue = self.entry.configuration
+        configured = catalogue.services.get(service) if catalogue else None
+        return windows.cold_limit(
+            configured.cold_per_s if configured else 0,
+            bounds.cold_factor,
+            bounds.cold_slack,
+            self.entry.entry_count.bound(),
+            place,
+        )
+
+
+def is_closed(candidate: placement.Candidate, now_s: float) -> bool:
+    """Return whether an endpoint is gone or its rank group is not working."""
+    return roster.closed(candidate.endpoint) or (
+        placement.reported_closed(candidate.load, now_s)
+    )
--- a/packages/entry/src/camphorstair/fleet/joining.py
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -8,7 +8,7 @@
 
 from camphorstair.fleet import state
 from camphorstair_fleet import keys
-from camphorstair_platform import fields, store
+from camphorstair_platform import fields, store, store_errors
 from camphorstair_runtime import clocks
 
 # Time to live of the lease. A renewal that takes longer may arrive after the
@@ -49,11 +49,11 @@
             started_s = clocks.monotonic_s()
             try:
                 await self._join_or_renew()
-            except store.NoLeaseError as ended:
+            except store_errors.NoLeaseError as ended:
                 _LOG.warning('membership has ended: %s', ended)
                 self.lease = 0
                 continue
-            except (store.StoreError, fields.FormatError) as error:
+            except (store_errors.StoreError, fields.FormatError) as error:
                 _LOG.warning('membership not renewed: %s', error)
             spent_s = clocks.monotonic_s() - started_s
             await curio.sleep(max(0.1, RENEW_INTERVAL_S - spent_s))
@@ -72,7 +72,7 @@
                 key = keys.member(name)
                 await self.client.transact((), (), (key,))
         except (
-            store.StoreError,
+            store_errors.StoreError,
             fields.FormatError,
             curio.TaskTimeout,
         ) as error:
@@ -83,8 +83,8 @@
     async def _join_or_renew(self) -> None:
         """Renew the lease, or write the key under a new one.
 
-        :raises store.NoLeaseError: if the lease has ended.
-        :raises store.StoreError: if the store does not carry it out.
+        :raises store_errors.NoLeaseError: if the lease has ended.
+        :raises store_errors.StoreError: if the store does not carry it out.
         """
         if self.lease:
             await self.client.renew(self.lease)
@@ -103,11 +103,11 @@
     def _check_era(self) -> None:
         """Check that the store still knows the lease as this entry's.
 
-        :raises store.NoLeaseError: if the store has come back from a copy. The
+        :raises store_errors.NoLeaseError: if the store has come back from a copy. The
             lease is lost then, and its identifier may be another's.
         """
         if self.client.era != self.era:
-            raise store.NoLeaseError(
+            raise store_errors.NoLeaseError(
                 f'lease of era {self.era} in era {self.client.era}',
                 possibly_applied=False,
                 answered=True,
--- a/packages/entry/src/camphorstair/fleet/moving.py
+++ b/packages/entry/src/camphorstair/fleet/moving.py
@@ -21,7 +21,7 @@
     if not entry.moves:
         return
     for service in list(entry.queues):
-        for candidate in dispatcher.stalling_ranks(service):
+        for candidate in dispatcher.choice.stalling_ranks(service):
             endpoint = candidate.endpoint.registration.endpoint
             moves = entry.moves.get(endpoint, [])
             moved = sum(move() for move in list(moves))
--- a/packages/fleet/src/camphorstair_fleet/leasing.py
+++ b/packages/fleet/src/camphorstair_fleet/leasing.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from camphorstair_platform import store
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import clocks
 
 # Part of the time to live during which the key counts as held: clocks drift and
@@ -49,7 +49,7 @@
         """Write the key under a new lease if it does not exist.
 
         :returns: Whether the key is now held.
-        :raises store.StoreError: if the outcome is unknown; a key that was
+        :raises store_errors.StoreError: if the outcome is unknown; a key that was
             written ends with its lease.
         """
         sent_s = clocks.boottime_s()
@@ -59,7 +59,7 @@
         put = store.Put(self.key, self.holder, lease)
         try:
             revision = await self.client.transact((key_absent,), (put,))
-        except store.ConflictError:
+        except store_errors.ConflictError:
             await self.client.end(lease)
             return False
         if self.client.era != era:
@@ -76,7 +76,7 @@
         Only one such process runs on a VM at a time, so the earlier one has
         ended.
 
-        :raises store.StoreError: if the outcome is unknown.
+        :raises store_errors.StoreError: if the outcome is unknown.
         """
         item = await self.client.get(self.key)
         if item is not None and item.content == self.holder:
@@ -87,7 +87,7 @@
 
         :returns: Whether the key is still held; if not, it must be acquired
             again.
-        :raises store.StoreError: if the store does not answer; the deadline
+        :raises store_errors.StoreError: if the store does not answer; the deadline
             is not changed.
         """
         sent_s = clocks.boottime_s()
@@ -95,7 +95,7 @@
             return False
         try:
             await self.client.renew(self.lease)
-        except store.NoLeaseError:
+        except store_errors.NoLeaseError:
             self.deadline_s = 0
             return False
         self._extend(sent_s)
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -8,7 +8,7 @@
 
 from camphorstair_core.fleet import content_age, store_copy
 from camphorstair_fleet import sources
-from camphorstair_platform import fields, store
+from camphorstair_platform import fields, store_errors
 from camphorstair_runtime import clocks
 
 # Pause before the next watch after changes. Changes often come in bursts, as when
@@ -107,10 +107,10 @@
         except sources.PeerError as peer_error:
             self.failed = True
             _LOG.info('another source is used: %s', peer_error)
-        except store.HistoryLostError as history_lost:
+        except store_errors.HistoryLostError as history_lost:
             _LOG.warning('reading all keys again: %s', history_lost)
             store_copy.read_again(known)
-        except (store.StoreError, fields.FormatError) as error:
+        except (store_errors.StoreError, fields.FormatError) as error:
             self.failed = True
             self._record_failure(sent_s, error)
             await curio.sleep(RETRY_INTERVAL_S)
--- a/packages/fleet/src/camphorstair_fleet/sources.py
+++ b/packages/fleet/src/camphorstair_fleet/sources.py
@@ -14,7 +14,7 @@
 
 from camphorstair_core.fleet import store_copy
 from camphorstair_fleet import internal_messages
-from camphorstair_platform import store
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import (
     clocks,
     http_client,
@@ -177,12 +177,12 @@
 ) -> store_copy.Update:
     """Read all keys.
 
-    :raises store.HistoryLostError: if the era of the store changes meanwhile.
+    :raises store_errors.HistoryLostError: if the era of the store changes meanwhile.
     """
     listings = [await client.scan(prefix, stale=stale) for prefix in prefixes]
     eras = {listing.era for listing in listings}
     if len(eras) > 1:
-        raise store.HistoryLostError(
+        raise store_errors.HistoryLostError(
             'the era changed while keys were read',
             possibly_applied=False,
             answered=True,
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -3,7 +3,7 @@
 import fleet_bench
 import pytest
 
-from camphorstair_platform import store
+from camphorstair_platform import store, store_errors
 
 
 @pytest.fixture
@@ -125,7 +125,7 @@
     async def body(running: fleet_bench.FleetBench) -> None:
         client = store.StoreClient(running.told.store.address)
         running.store.faults.loses_answers = True
-        with pytest.raises(store.StoreError) as raised:
+        with pytest.raises(store_errors.StoreError) as raised:
             await client.grant(2)
         assert raised.value.possibly_applied
         running.store.faults.loses_answers = False
--- a/tests/test_fleet_store_return.py
+++ b/tests/test_fleet_store_return.py
@@ -7,7 +7,7 @@
 from camphorstair_core.experts import group_orders
 from camphorstair_core.fleet import store_copy
 from camphorstair_fleet import leasing
-from camphorstair_platform import store
+from camphorstair_platform import store, store_errors
 
 PLANNER_KEY = 'camphorstair/planners/g'
 
@@ -170,7 +170,7 @@
         running.store.era = 4
         await client.scan('op/')
         running.store.era = 3
-        with pytest.raises(store.StoreError):
+        with pytest.raises(store_errors.StoreError):
             await client.scan('op/')
         assert client.era == 4
 
