Log the shared parts of a prompt with a failed attempt

The parts are decoded once in platform/ (bounded: 32 parts of 64 characters) and logged with the number of events. No decision reads them yet. The last part is the request's own and left out.

--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -210,6 +210,8 @@
                 'endpoint': candidate.endpoint.registration.endpoint,
                 'verdict': verdict.value,
                 'ejected': ejected,
+                'events': self.call.stream.events,
+                'prompt': ','.join(self.call.caller_headers.prompt_parts),
             },
         )
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -131,6 +131,30 @@
     assert not decoded.key
 
 
+@pytest.mark.parametrize(
+    ('prefix', 'parts'),
+    [
+        ('', ()),
+        ('5c1e07a2:800', ()),
+        ('5C1E07A2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        ('a1,:7,b 2:1,c3:x,last:9', ('a1', 'c3')),
+        (','.join(f'p{number}' for number in range(5000)), None),
+        (f'{"f" * 5000}:1,last:1', ()),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_are_decoded(
+    prefix: str, parts: tuple[str, ...] | None
+) -> None:
+    request = http_messages.Request(
+        'POST', '/', [('x-camphorstair-prompt-prefix', prefix)], b''
+    )
+    decoded = headers.decode_caller(request).prompt_parts
+    if parts is None:
+        assert decoded == tuple(f'p{number}' for number in range(32))
+    else:
+        assert decoded == parts
+
+
 def test_the_load_and_the_refusal_of_an_answer_are_decoded() -> None:
     decoded = headers.decode_answer(
         503,
