--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -57,10 +57,12 @@
     )
 
 
-def boot_settings(store_address: str) -> bytes:
+def boot_settings(store_address: str, name: str = 'front-1') -> bytes:
     """Return the content of a settings file in the platform's format.
 
     The entry's sockets get free ports of the loopback interface.
+
+    :param name: Name of the entry's VM.
     """
     free_addresses = [loopback.free_address() for _ in range(4)]
     callers, ready, directory, internal = (
@@ -68,7 +70,7 @@
     )
     return documents.boot_settings(
         store_address,
-        'front-1',
+        name,
         loopback.HOST,
         (callers, ready, directory, internal),
     )
@@ -148,6 +150,14 @@
             configuration(version, **changed_fields),
         )
 
+    async def add_entry(self, name: str) -> serving.Process:
+        """Start another entry on the same store and wait until it is ready."""
+        told = boot.decode(boot_settings(self.told.store.address, name))
+        process = serving.build(told, metrics_api.NoOpMeter('test'))
+        await self._group.spawn(serving.serve, process)
+        await self.wait_until(process.entry.ready)
+        return process
+
     async def call(
         self,
         path: str,
@@ -174,6 +184,7 @@
         *,
         method: str = 'POST',
         key: str = KEY,
+        entry: serving.Process | None = None,
         **headers: str,
     ) -> http_client.Exchange:
         """Send a caller's request and read the head of the response.
@@ -181,6 +192,7 @@
         The caller of this method closes the exchange.
 
         :param attempt: Identifier of the attempt.
+        :param entry: The entry to send it to; by default the first one.
         :param headers: Further headers, with ``_`` in place of ``-``.
         """
         request_headers = exchange_headers.request(attempt, key, CALLER_LIMIT_S)
@@ -188,7 +200,8 @@
             (name.replace('_', '-'), value) for name, value in headers.items()
         )
         request = http_messages.Request(method, path, request_headers, b'body')
-        exchange = await http_client.connect(self.told.callers_address)
+        told = entry.entry.settings if entry else self.told
+        exchange = await http_client.connect(told.callers_address)
         await http_client.send(exchange, HOST, request)
         await http_client.read_head(exchange, request)
         return exchange
