Find the prompt part under which engines crash, and send it to none

Cause: a class of fault that the design had no answer to, a request that crashes whatever serves it. Nothing connected the end of a process with the prompts it was working on, each entry knew only its own requests, and a retry sent a request that had crashed one engine to the next one.

Change: a broken answer that had made no progress leads to a check whether the engine's process still accepts connections. If it refuses them, the shared parts of the prompt are reported through the store. All entries draw the same conclusion from all reports: a part that stays suspected in two incidents, a second or more apart, is quarantined, refused with 503 and the time that is left. Entries clear the suspects that they have seen answered, so common parts are never found; the most frequent suspect explains its crashes; suspects that explain the same crashes are refused for 20 s only, until the next crash tells them apart. The conclusion is a key of its own in the store under a lease of ten minutes, for entries that start later. A request whose engine crashed is not sent again if a part of it was never answered.

Why not sooner, at the first crash: a rack that fails takes sound prompts with it. Why not by the agent: it doesn't see prompts.

--- a/packages/core/src/camphorstair_core/errors.py
+++ b/packages/core/src/camphorstair_core/errors.py
@@ -42,6 +42,10 @@
 )
 overloaded = ErrorCode('overloaded', http.HTTPStatus.SERVICE_UNAVAILABLE)
 no_endpoint = ErrorCode('no_endpoint', http.HTTPStatus.SERVICE_UNAVAILABLE)
+prompt_quarantined = ErrorCode(
+    'prompt_quarantined',
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
 no_configuration = ErrorCode(
     'no_configuration',
     http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from camphorstair_core.fleet import catalogue
+from camphorstair_core.fleet import catalogue, quarantine
 
 AGING_S = 1.0
 # Callers abort a stream that sends no event for the longest of these times:
@@ -37,6 +37,7 @@
     :ivar latest_useful_start_s: Latest start at which the answer can be
         complete by its deadline.
     :ivar excluded: Endpoints that it must not be sent to.
+    :ivar prompt_parts: The parts of its prompt that other prompts share.
     """
 
     organisation: str
@@ -45,6 +46,7 @@
     latest_timely_start_s: float = 0
     latest_useful_start_s: float = 0
     excluded: set[str] = attrs.field(factory=set)
+    prompt_parts: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -137,11 +139,27 @@
         for waiter in queue.waiters
         if now_s >= waiter.latest_useful_start_s
     ]
-    for waiter in expired:
-        queue.waiters.remove(waiter)
+    _remove(queue, expired)
     return expired
 
 
+def quarantined(
+    queue: Queue,
+    known: quarantine.Quarantine,
+    now_s: float,
+) -> list[Waiter]:
+    """Remove the requests with a quarantined part and return them."""
+    if not known.deadline_s:
+        return []
+    found = [
+        waiter
+        for waiter in queue.waiters
+        if known.find(waiter.prompt_parts, now_s) is not None
+    ]
+    _remove(queue, found)
+    return found
+
+
 def start(queue: Queue, waiter: Waiter) -> None:
     """Move a request from the waiting ones to those in progress."""
     queue.waiters.remove(waiter)
@@ -149,6 +167,11 @@
     queue.in_progress[waiter.organisation] = running + 1
 
 
+def _remove(queue: Queue, waiters: list[Waiter]) -> None:
+    for waiter in waiters:
+        queue.waiters.remove(waiter)
+
+
 def finish(queue: Queue, organisation: str) -> None:
     """Count a request of an organisation as no longer in progress."""
     running = queue.in_progress.get(organisation, 0) - 1
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -17,6 +17,9 @@
 
 # Answers to other requests that are skipped before an attempt fails.
 MAX_MISMATCHED_ANSWERS = 4
+# An engine that writes on for this long after its first event has not crashed
+# under the prompt.
+PROGRESS_S = 0.25
 # Longest event of a stream. A faulty endpoint may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -29,6 +32,7 @@
         if no further attempt is made; None if there is none.
     :ivar sent: Whether anything was sent to the endpoint.
     :ivar misdirected: Whether a different endpoint answered at the address.
+    :ivar suspect: Whether the request may have crashed the engine.
     """
 
     def __init__(
@@ -46,6 +50,7 @@
         self.answer = answer
         self.sent = sent
         self.misdirected = misdirected
+        self.suspect = False
 
     def timed_out(self) -> bool:
         """Return whether the endpoint stopped at the deadline it was sent.
@@ -72,6 +77,10 @@
     :ivar answered: Whether the head of the answer was received.
     :ivar first_part_s: Time at which the first part of the answer was sent to
         the caller.
+    :ivar first_event_s: Time at which the first event of a stream came; None
+        before.
+    :ivar progressed: Whether the engine has answered for ``PROGRESS_S`` or
+        completely.
     """
 
     entry: state.FleetEntry
@@ -81,6 +90,8 @@
     left: bool = False
     answered: bool = False
     first_part_s: float = 0
+    first_event_s: float | None = None
+    progressed: bool = False
 
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
@@ -198,6 +209,7 @@
         else:
             whole = await _read_response(exchange)
             self.first_part_s = clocks.monotonic_s()
+            self._record_progress()
             await self.call.responder.respond(whole)
 
     async def _raise_failure(
@@ -231,6 +243,7 @@
         while chunk is not None:
             events = splitter.feed(chunk)
             if events:
+                self._note_events()
                 await self._send_events(
                     exchange, stream.take(events, resumed=resumed)
                 )
@@ -248,8 +261,27 @@
             raise http_client.HttpError(
                 'the stream ended within an event', sent=True
             )
+        if self.first_event_s is not None:
+            self._record_progress()
         await self._finish_stream(exchange)
 
+    def _note_events(self) -> None:
+        """Note that events have come; the first ones do not prove progress."""
+        now_s = clocks.monotonic_s()
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        elif now_s - self.first_event_s >= PROGRESS_S:
+            self._record_progress()
+
+    def _record_progress(self) -> None:
+        """Record that an engine answers the shared parts of the prompt."""
+        if self.progressed:
+            return
+        self.progressed = True
+        self.entry.crashes.answered.record(
+            self.call.caller_headers.prompt_parts, clocks.monotonic_s()
+        )
+
     async def _send_events(
         self,
         exchange: http_client.Exchange,
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/crash_state.py
@@ -0,0 +1,33 @@
+"""What an entry knows of engines that crash under prompts."""
+
+import attrs
+import curio
+
+from camphorstair.fleet import crash_checks
+from camphorstair_core.fleet import answered_parts, crash_reports, quarantine
+
+
+@attrs.define(eq=False)
+class CrashState:
+    """What an entry knows of engines that crash under prompts.
+
+    :ivar answered: Parts of prompts that engines have answered.
+    :ivar history: The crashes that entries have reported.
+    :ivar quarantined: Parts of prompts that no engine is sent.
+    :ivar checks: Checks whether an engine's process has ended.
+    :ivar news: Set when a crash was reported.
+    """
+
+    answered: answered_parts.AnsweredParts = attrs.field(
+        factory=answered_parts.AnsweredParts
+    )
+    history: crash_reports.CrashHistory = attrs.field(
+        factory=crash_reports.CrashHistory
+    )
+    quarantined: quarantine.Quarantine = attrs.field(
+        factory=quarantine.Quarantine
+    )
+    checks: crash_checks.CrashChecks = attrs.field(
+        factory=crash_checks.CrashChecks
+    )
+    news: curio.Event = attrs.field(factory=curio.Event)
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -82,8 +82,10 @@
         Each endpoint returned must be passed to ``release``.
 
         :raises errors.RequestError: if no endpoint can take the request, the
-            queue is full, or no endpoint is free in time.
+            queue is full, or no endpoint is free in time, or if its prompt
+            crashes engines.
         """
+        self._check_quarantine(waiter)
         usable = self.choice.usable(service)
         self._check_service(service, waiter, usable)
         pending = PendingRequest(waiter)
@@ -98,6 +100,7 @@
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
         if pending.granted is None:
+            self._check_quarantine(waiter)
             raise self.refusal(
                 service, errors.overloaded, 'no endpoint was free in time'
             )
@@ -122,10 +125,16 @@
     async def serve_queue(self, service: str) -> None:
         """Assign free endpoints of a service to its queued requests.
 
-        Requests that can no longer be answered in time are dropped.
+        Requests that can no longer be answered in time, or that would crash
+        engines, are dropped.
         """
         queue = self.entry.queue(service)
-        for waiter in waiting.given_up(queue, clocks.monotonic_s()):
+        now_s = clocks.monotonic_s()
+        dropped = waiting.given_up(queue, now_s)
+        dropped += waiting.quarantined(
+            queue, self.entry.crashes.quarantined, now_s
+        )
+        for waiter in dropped:
             await self.pending_requests[waiter].decided.set()
         if queue.waiters:
             await self._grant(service, self.choice.usable(service))
@@ -179,6 +188,21 @@
             if not free:
                 return
 
+    def _check_quarantine(self, waiter: waiting.Waiter) -> None:
+        """Refuse a request whose prompt crashes engines.
+
+        :raises errors.RequestError: if a part of it is quarantined.
+        """
+        found = self.entry.crashes.quarantined.find(
+            waiter.prompt_parts, clocks.monotonic_s()
+        )
+        if found is not None:
+            raise errors.RequestError(
+                errors.prompt_quarantined,
+                f'engines crash on part {found.part} of the prompt',
+                retry_after_s=found.remaining_s,
+            )
+
     def _check_service(
         self,
         service: str,
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -9,7 +9,7 @@
 import attrs
 import msgspec
 
-from camphorstair.fleet import dispatch, state
+from camphorstair.fleet import crash_reporting, dispatch, state
 from camphorstair_core import vms
 from camphorstair_core.fleet import (
     membership,
@@ -50,6 +50,7 @@
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     mirror: mirroring.Mirror = attrs.field(init=False)
+    _crash_changes: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the mirror that passes changes to this object."""
@@ -85,6 +86,9 @@
 
     async def _finish_round(self) -> None:
         self.entry.listed = self.mirror.listed()
+        if self.entry.crashes.history.changes != self._crash_changes:
+            self._crash_changes = self.entry.crashes.history.changes
+            await self.entry.crashes.news.set()
         await self.dispatcher.serve_queues()
 
     def _apply(self, item: store_copy.Item) -> None:
@@ -96,6 +100,8 @@
             self._apply_data_centre_out(item)
         elif item.key == configuration.CONFIGURATION_KEY:
             self._apply_configuration(item)
+        else:
+            self._apply_crash_news(item)
 
     def _apply_configuration(self, item: store_copy.Item) -> None:
         """Put a newer configuration in force; older versions are ignored."""
@@ -114,6 +120,19 @@
             extra={'version': decoded.version, 'revision': item.revision},
         )
 
+    def _apply_crash_news(self, item: store_copy.Item) -> None:
+        """Apply reports of crashes or a change of the quarantined parts."""
+        if item.key.startswith(keys.CRASHES_PREFIX):
+            reporter = item.key.removeprefix(keys.CRASHES_PREFIX)
+            crash_reporting.apply_reports(self.entry, reporter, item.content)
+        elif item.key.startswith(keys.QUARANTINE_PREFIX):
+            crash_reporting.apply_quarantine(
+                self.entry,
+                item.key.removeprefix(keys.QUARANTINE_PREFIX),
+                item.content,
+                lost=self.mirror.absent_deadline_s() is not None,
+            )
+
     def _apply_data_centre_out(self, item: store_copy.Item) -> None:
         """Record that a data centre is taken out of service or put back."""
         data_centre = item.key.removeprefix(configuration.EVACUATION_PREFIX)
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -5,7 +5,13 @@
 import attrs
 import curio
 
-from camphorstair.fleet import attempts, calls, dispatch, state
+from camphorstair.fleet import (
+    attempts,
+    calls,
+    crash_suspects,
+    dispatch,
+    state,
+)
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import ejection, placement, roster, waiting
 from camphorstair_runtime import clocks
@@ -93,6 +99,10 @@
             raise
         except attempts.AttemptError as failure:
             self._record_failed_attempt(attempt, failure)
+            crashed = await crash_suspects.check(self.entry, attempt, failure)
+            failure.suspect = crashed and crash_suspects.is_suspect(
+                self.entry, attempt
+            )
             return failure
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
@@ -234,7 +244,7 @@
         self.move_started = False
         if clocks.monotonic_s() >= self.call.deadline_s:
             return False
-        if not self._may_send_again(self.call.attempts):
+        if failure.suspect or not self._may_send_again(self.call.attempts):
             return False
         return move_started or not failure.sent or self._spend_retry()
 
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -13,6 +13,7 @@
     :ivar retries: Retries asked of the retry budget, by whether it allowed
         them.
     :ivar ejections: Ejections of endpoints after failures.
+    :ivar crashes: Requests whose engine crashed before it answered.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
@@ -23,6 +24,7 @@
     refusals: metrics_api.Counter
     retries: metrics_api.Counter
     ejections: metrics_api.Counter
+    crashes: metrics_api.Counter
     queued_s: metrics_api.Histogram
     first_part_s: metrics_api.Histogram
 
@@ -34,6 +36,7 @@
         meter.create_counter('camphorstair_refusals'),
         meter.create_counter('camphorstair_repeats'),
         meter.create_counter('camphorstair_ejections'),
+        meter.create_counter('camphorstair_crashes'),
         meter.create_histogram('camphorstair_queued_seconds'),
         meter.create_histogram('camphorstair_first_part_seconds'),
     )
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -108,6 +108,7 @@
         caller_limit_s = caller_headers.limit_s or DEFAULT_LIMIT_S
         limit_s = min(route.timeout_s, caller_limit_s)
         waiter = _waiter(route, organisation, now_s)
+        waiter.prompt_parts = caller_headers.prompt_parts
         waiting.set_deadlines(
             waiter,
             route,
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -11,6 +11,7 @@
 
 from camphorstair.fleet import (
     copy_serving,
+    crash_reporting,
     directory,
     dispatch,
     following,
@@ -24,7 +25,7 @@
     sensing,
     state,
 )
-from camphorstair_core.fleet import membership, roster
+from camphorstair_core.fleet import crash_reports, membership, roster
 from camphorstair_fleet import metrics_page
 from camphorstair_platform import boot, fields, store
 from camphorstair_runtime import (
@@ -60,6 +61,7 @@
     :ivar callers: The server for callers.
     :ivar joining: The membership of the entry.
     :ivar follower: Follows the store.
+    :ivar crash_reporter: Exchanges reports of crashes with other entries.
     """
 
     entry: state.FleetEntry
@@ -67,6 +69,7 @@
     callers: http_server.Server
     joining: joining.EntryMembership
     follower: following.Follower
+    crash_reporter: crash_reporting.CrashReporter
 
 
 def build(told: boot.BootSettings, meter: metrics_api.Meter) -> Process:
@@ -89,6 +92,9 @@
         ),
         joining.EntryMembership(entry, store.StoreClient(told.store.address)),
         following.Follower(entry, dispatcher),
+        crash_reporting.CrashReporter(
+            entry, dispatcher, store.StoreClient(told.store.address)
+        ),
     )
 
 
@@ -120,6 +126,7 @@
             process.follower.run,
             sensing.LoadListener(entry, dispatcher).run,
             process.joining.run,
+            process.crash_reporter.run,
             functools.partial(_run_periodic_work, process),
         )
         _LOG.info(
@@ -206,6 +213,9 @@
         for name in roster.expire(entry.endpoints, now_s):
             _LOG.info('endpoint did not come back', extra={'endpoint': name})
         membership.expire(entry.members, now_s)
+        crash_reports.expire(entry.crashes.history, now_s)
+        for part in entry.crashes.quarantined.expire(now_s):
+            _LOG.info('quarantine of a prompt part ended', extra={'part': part})
         await entry.connection_pool.expire(now_s)
         moving.move_from_slow_ranks(entry, process.dispatcher)
         await process.dispatcher.serve_queues()
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from camphorstair.fleet import connections, instruments
+from camphorstair.fleet import connections, crash_state, instruments
 from camphorstair_core import caller_limits
 from camphorstair_core.fleet import (
     catalogue,
@@ -53,6 +53,7 @@
     :ivar moves: For each endpoint, the functions that move its requests to
         another one.
     :ivar connection_pool: Pool of idle connections to endpoints.
+    :ivar crashes: What is known of engines that crash under prompts.
     :ivar leaving: Whether the entry is shutting down.
     """
 
@@ -76,6 +77,9 @@
     connection_pool: connections.ConnectionPool = attrs.field(
         factory=connections.ConnectionPool,
     )
+    crashes: crash_state.CrashState = attrs.field(
+        factory=crash_state.CrashState
+    )
     leaving: bool = False
     _shares: dict[str, subsetting.SharesByEndpoint] = attrs.field(factory=dict)
     _shares_version: tuple[int, int] = (0, 0)
