Log the limit of requests that an endpoint names

Server-Limit is decoded in platform/ (a decimal number of 32 characters at most; anything else is one log line and no statement), kept with the endpoint's load, and each change is logged. No decision reads it yet.

--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from camphorstair_core.fleet import ejection, roster
+from camphorstair_core.fleet import ejection, request_limits, roster
 
 REMOTE_PENALTY = 0.5
 EJECTED_PENALTY = 1000.0
@@ -64,6 +64,7 @@
     :ivar endpoint: The endpoint.
     :ivar load: Its load.
     :ivar health: Its health, derived from its latest answers.
+    :ivar limit: The limit of requests that it names.
     :ivar own_slots: How many of its slots this entry owns.
     :ivar place: The place of this entry among those that use the endpoint;
         None if the endpoint did not select it.
@@ -72,6 +73,9 @@
     endpoint: roster.Endpoint
     load: Load
     health: ejection.Health
+    limit: request_limits.RequestLimit = attrs.field(
+        factory=request_limits.RequestLimit
+    )
     own_slots: int = 0
     place: int | None = None
 
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorstair.fleet import calls, connections, state
+from camphorstair.fleet import answer_reports, calls, connections, state
 from camphorstair_core import errors, event_stream, verdicts
 from camphorstair_core.fleet import placement
 from camphorstair_platform import headers
@@ -168,6 +168,7 @@
         for _ in range(MAX_MISMATCHED_ANSWERS):
             answer = headers.decode_answer(exchange.status, exchange.headers)
             self._record_load(answer)
+            answer_reports.record_limit(self.candidate, answer)
             if answer.attempt in {'', call.caller_headers.attempt}:
                 self.answered = True
                 return answer
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -155,6 +155,29 @@
         assert decoded == parts
 
 
+@pytest.mark.parametrize(
+    ('limit', 'per_s'),
+    [
+        ('2', 2),
+        (' 0.75 ', 0.75),
+        ('0', 0),
+        ('-1', None),
+        ('nan', None),
+        ('1e9', None),
+        ('9' * 400, None),
+        ('٣', None),
+        ('Fri, 04 Dec 2026 12:00:00 GMT', None),
+    ],
+)
+def test_the_limit_that_an_answer_names_is_decoded(
+    limit: str, per_s: float | None
+) -> None:
+    decoded = headers.decode_answer(200, [('server-limit', limit)])
+    assert decoded.limit_per_s == per_s
+    assert decoded.limit_unreadable == (per_s is None)
+    assert not headers.decode_answer(200, []).limit_unreadable
+
+
 def test_the_load_and_the_refusal_of_an_answer_are_decoded() -> None:
     decoded = headers.decode_answer(
         503,
