Treat a stream that ends before its first event as broken off

Callers got 200 with an empty body when an engine's process ended after the head of an answer that tells no length: such an answer ends with its connection, and nothing had come that could be incomplete. Found while looking for what an engine's crash looks like elsewhere. Only streams without a length are concerned; one that is framed may be empty.

The test of it failed before (200, expected 502); the other cases of test_fleet_unframed_answers passed before and after.

--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -234,8 +234,8 @@
     async def _relay_stream(self, exchange: http_client.Exchange) -> None:
         """Send the whole events of a stream to the caller.
 
-        :raises http_client.HttpError: if the stream ends within an event or
-            the attempt was aborted.
+        :raises http_client.HttpError: if the stream ends within an event, or
+            without any and without a length, or the attempt was aborted.
         """
         splitter = event_stream.EventSplitter()
         stream = self.call.stream
@@ -264,6 +264,10 @@
             )
         if self.first_event_s is not None:
             self._record_progress()
+        elif not exchange.framed:
+            raise http_client.HttpError(
+                'the stream ended before its first event', sent=True
+            )
         await self._finish_stream(exchange)
 
     def _note_events(self) -> None:
