Split recording outcomes from forwarding a request

forwarding.py had grown to 328 lines with two jobs: the series of attempts, and what is recorded of each. attempt_outcomes has the latter. No behaviour is changed; the lines 'attempt failed' and 'answered' now name that logger.

--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -6,6 +6,7 @@
 import curio
 
 from camphorstair.fleet import (
+    attempt_outcomes,
     attempts,
     calls,
     crash_suspects,
@@ -13,7 +14,7 @@
     state,
 )
 from camphorstair_core import errors, verdicts
-from camphorstair_core.fleet import ejection, placement, roster, waiting
+from camphorstair_core.fleet import ejection, placement, waiting
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
@@ -28,6 +29,7 @@
     :ivar call: The request.
     :ivar queued_s: Time from the request's arrival to the start of its last
         attempt.
+    :ivar outcomes: Records how its attempts end.
     :ivar move_started: Whether the current attempt was aborted to move its
         stream to another endpoint; its retry was spent when it was aborted.
     """
@@ -37,6 +39,11 @@
     call: calls.Call
     queued_s: float = 0
     move_started: bool = False
+    outcomes: attempt_outcomes.OutcomeRecorder = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the recorder of the request's attempts."""
+        self.outcomes = attempt_outcomes.OutcomeRecorder(self.entry, self.call)
 
     async def run(self) -> None:
         """Attempt the request until it is answered or must not be retried.
@@ -95,10 +102,10 @@
         try:
             await self._run_movable(attempt, endpoint)
         except curio.CancelledError:
-            self._record_unanswered(attempt, began_s)
+            self.outcomes.record_unanswered(attempt, began_s)
             raise
         except attempts.AttemptError as failure:
-            self._record_failed_attempt(attempt, failure)
+            self.outcomes.record_failed(attempt, failure)
             crashed = await crash_suspects.check(self.entry, attempt, failure)
             failure.suspect = crashed and crash_suspects.is_suspect(
                 self.entry, attempt
@@ -107,7 +114,7 @@
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
         ejection.record_success(candidate.health, began_s)
-        self._record_answer(endpoint, attempt)
+        self.outcomes.record_answered(attempt, self.queued_s)
         return None
 
     async def _run_movable(
@@ -152,88 +159,6 @@
         attempt.abort()
         return True
 
-    def _record_failed_attempt(
-        self,
-        attempt: attempts.Attempt,
-        failure: attempts.AttemptError,
-    ) -> None:
-        """Record a failed attempt in the call, roster and endpoint's health.
-
-        An attempt that was aborted by the entry, or that the endpoint stopped
-        at its deadline, does not count against the endpoint's health.
-        """
-        call = self.call
-        call.sent = False
-        call.attempts += failure.sent
-        candidate = attempt.candidate
-        call.waiter.excluded.add(candidate.endpoint.registration.endpoint)
-        call.verdict = verdicts.worst(call.verdict, failure.verdict)
-        if failure.misdirected:
-            roster.mark_address_taken(self.entry.endpoints, candidate.endpoint)
-        if not attempt.left and not failure.timed_out():
-            self._record_failure(candidate, str(failure), failure.verdict)
-
-    def _record_unanswered(
-        self,
-        attempt: attempts.Attempt,
-        began_s: float,
-    ) -> None:
-        """Record a cancelled attempt that had no answer as a failure.
-
-        An attempt is cancelled when its time runs out or the caller
-        disconnects. It counts against the endpoint only if an answer was due
-        and the endpoints it is compared with show that it hangs.
-        """
-        now_s = clocks.monotonic_s()
-        if attempt.answered or not _answer_due(self.call, now_s):
-            return
-        candidate = attempt.candidate
-        peers = self._service_health()
-        if candidate.endpoint.registration.membership is not None:
-            # The ranks of a group work in lockstep, and each serves requests in
-            # order of arrival, so a rank is compared only with itself.
-            peers = [candidate.health]
-        if ejection.hangs(peers, began_s, now_s):
-            self._record_failure(
-                candidate,
-                f'no answer in {now_s - began_s:.1f} s',
-                verdicts.Verdict.may_have_run,
-            )
-
-    def _record_failure(
-        self,
-        candidate: placement.Candidate,
-        reason: str,
-        verdict: verdicts.Verdict,
-    ) -> None:
-        """Count a failure of an endpoint, which may eject it, and log it."""
-        ejected = ejection.record_failure(
-            candidate.health, self._service_health(), clocks.monotonic_s()
-        )
-        if ejected:
-            self.entry.meters.ejections.add(1)
-        _LOG.info(
-            'attempt failed: %s',
-            reason,
-            extra={
-                'request': self.call.caller_headers.attempt,
-                'endpoint': candidate.endpoint.registration.endpoint,
-                'verdict': verdict.value,
-                'ejected': ejected,
-                'events': self.call.stream.events,
-                'prompt': ','.join(self.call.caller_headers.prompt_parts),
-            },
-        )
-
-    def _service_health(self) -> list[ejection.Health]:
-        """Return the health of all usable endpoints of the service."""
-        return [
-            self.entry.candidate(endpoint).health
-            for endpoint in roster.usable(
-                self.entry.endpoints, self.call.service
-            )
-        ]
-
     def _may_retry(self, failure: attempts.AttemptError) -> bool:
         """Return whether another attempt is made after a failure.
 
@@ -294,35 +219,3 @@
                 call.service, errors.overloaded, str(failure)
             )
         raise attempts.incomplete_answer_error(str(failure))
-
-    def _record_answer(self, endpoint: str, attempt: attempts.Attempt) -> None:
-        """Count, measure and log an answered request."""
-        call = self.call
-        meters = self.entry.meters
-        first_part_s = attempt.first_part_s - call.received_s
-        meters.answers.add(1, {'route': call.route.name})
-        meters.queued_s.record(self.queued_s)
-        meters.first_part_s.record(first_part_s)
-        _LOG.info(
-            'answered',
-            extra={
-                'request': call.caller_headers.attempt,
-                'route': call.route.name,
-                'version': call.version,
-                'endpoint': endpoint,
-                'attempts': call.attempts,
-                'queued_s': round(self.queued_s, 3),
-                'first_part_s': round(first_part_s, 3),
-                'whole_s': round(clocks.monotonic_s() - call.received_s, 3),
-            },
-        )
-
-
-def _answer_due(call: calls.Call, now_s: float) -> bool:
-    """Return whether an endpoint should have begun to answer by now.
-
-    Callers disconnect from a stream that sends no event, so for a stream an
-    answer is always due. For other requests the endpoint answers at the
-    deadline at the latest, if only to report that it stopped.
-    """
-    return call.streaming() or now_s >= call.deadline_s
