--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -17,7 +17,12 @@
 
 import attrs
 
-from camphorstair_core.fleet import ejection, request_limits, roster
+from camphorstair_core.fleet import (
+    ejection,
+    endpoint_terms,
+    request_limits,
+    roster,
+)
 
 REMOTE_PENALTY = 0.5
 EJECTED_PENALTY = 1000.0
@@ -64,7 +69,7 @@
     :ivar endpoint: The endpoint.
     :ivar load: Its load.
     :ivar health: Its health, derived from its latest answers.
-    :ivar limit: The limit of requests that it names.
+    :ivar terms: The terms on which it takes requests.
     :ivar own_slots: How many of its slots this entry owns.
     :ivar place: The place of this entry among those that use the endpoint;
         None if the endpoint did not select it.
@@ -74,9 +79,7 @@
     endpoint: roster.Endpoint
     load: Load
     health: ejection.Health
-    limit: request_limits.RequestLimit = attrs.field(
-        factory=request_limits.RequestLimit
-    )
+    terms: endpoint_terms.Terms = attrs.field(factory=endpoint_terms.Terms)
     own_slots: int = 0
     place: int | None = None
     users: int = 1
--- a/packages/entry/src/camphorstair/fleet/answer_reports.py
+++ b/packages/entry/src/camphorstair/fleet/answer_reports.py
@@ -3,40 +3,40 @@
 import http
 import logging
 
-from camphorstair_core.fleet import placement, request_limits
+from camphorstair_core.fleet import endpoint_terms, placement
 from camphorstair_platform import headers
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
 
 
-def record_limit(
+def record_terms(
     candidate: placement.Candidate,
     answer: headers.AnswerHeaders,
 ) -> None:
-    """Record the limit of requests that an answer names, or that it ended.
+    """Record the terms on which an endpoint takes requests from now on.
 
-    An answer of another process at the address says nothing, nor does a limit
-    that can't be read.
+    An answer of another process at the address says nothing of the endpoint.
     """
-    endpoint = candidate.endpoint.registration.endpoint
     if answer.status == http.HTTPStatus.MISDIRECTED_REQUEST:
         return
-    if answer.limit_unreadable:
+    statement = answer.statement
+    endpoint = candidate.endpoint.registration.endpoint
+    if statement.unreadable:
         _LOG.warning(
-            'limit of an endpoint is unreadable', extra={'endpoint': endpoint}
+            'statement of an endpoint is unreadable: %s',
+            ', '.join(statement.unreadable),
+            extra={'endpoint': endpoint},
         )
-        return
+    terms = candidate.terms
     now_s = clocks.monotonic_s()
-    if request_limits.record(
-        candidate.limit, answer.limit_per_s, candidate.sharing(), now_s
-    ):
+    if endpoint_terms.record(terms, statement, candidate.sharing(), now_s):
         _LOG.info(
-            'limit of an endpoint has changed',
+            'terms of an endpoint have changed',
             extra={
                 'endpoint': endpoint,
-                'per_s': candidate.limit.per_s,
-                'next_send_s': round(candidate.limit.next_send_s - now_s, 2),
+                'per_s': terms.limit.per_s,
+                'next_send_s': round(terms.limit.next_send_s - now_s, 2),
                 'request': answer.attempt,
             },
         )
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -172,7 +172,7 @@
         for _ in range(MAX_MISMATCHED_ANSWERS):
             answer = headers.decode_answer(exchange.status, exchange.headers)
             self._record_load(answer)
-            answer_reports.record_limit(self.candidate, answer)
+            answer_reports.record_terms(self.candidate, answer)
             if answer.attempt in {'', call.caller_headers.attempt}:
                 self.answered = True
                 return answer
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -249,7 +249,7 @@
             limits by which it can't be sent in time.
         """
         limits = [
-            (candidate.limit, candidate.sharing())
+            (candidate.terms.limit, candidate.sharing())
             for candidate in usable
             if candidate.endpoint.registration.endpoint not in waiter.excluded
         ]
--- a/packages/entry/src/camphorstair/fleet/endpoint_choice.py
+++ b/packages/entry/src/camphorstair/fleet/endpoint_choice.py
@@ -5,6 +5,7 @@
 from camphorstair.fleet import state
 from camphorstair_core.fleet import (
     ejection,
+    endpoint_terms,
     placement,
     request_limits,
     roster,
@@ -95,7 +96,9 @@
     def count_sent(self, candidate: placement.Candidate, now_s: float) -> None:
         """Count a request that is sent to an endpoint."""
         candidate.load.running += 1
-        request_limits.count_sent(candidate.limit, candidate.sharing(), now_s)
+        request_limits.count_sent(
+            candidate.terms.limit, candidate.sharing(), now_s
+        )
         if now_s < candidate.endpoint.cold_deadline_s:
             name = candidate.endpoint.registration.endpoint
             self.entry.cold_window(name).add(now_s)
@@ -129,7 +132,7 @@
         time until it answers; a cold one, which registered a short time ago,
         and one that names a limit get a limited number per second.
         """
-        if not request_limits.may_send(candidate.limit, now_s):
+        if not endpoint_terms.may_send(candidate.terms, now_s):
             return False
         if not placement.has_free_slot(candidate, now_s):
             return False
--- a/tests/test_fleet_request_limits.py
+++ b/tests/test_fleet_request_limits.py
@@ -102,9 +102,9 @@
         )
         await running.call('/look/', 'a1')
         candidate = running.entry.candidates['i-1']
-        assert candidate.limit.per_s == 4
+        assert candidate.terms.limit.per_s == 4
         await running.call('/look/', 'a2')
-        assert candidate.limit.per_s is None
+        assert candidate.terms.limit.per_s is None
         statuses = [
             (await running.call('/look/', f'b{number}')).status
             for number in range(10)
@@ -127,7 +127,7 @@
         assert answer.status == 503
         assert clocks.monotonic_s() - asked_s < FINAL_ANSWER_LIMIT_S
         candidate = running.entry.candidates['i-1']
-        remaining_s = candidate.limit.next_send_s
+        remaining_s = candidate.terms.limit.next_send_s
         retry_after_s = float(http_messages.header(answer.headers, RETRY_AFTER))
         assert retry_after_s > remaining_s - clocks.monotonic_s()
         assert len(endpoint.arrivals) == 1
@@ -145,7 +145,7 @@
         for attempt in ('a1', 'a2'):
             assert (await running.call('/look/', attempt)).status == 200
         candidate = running.entry.candidates['i-1']
-        assert candidate.limit.per_s == 9
+        assert candidate.terms.limit.per_s == 9
 
     bench.run(body)
 
@@ -163,7 +163,7 @@
         running.register('i-1', 'plain', address, born=6)
         entry = running.entry
         await running.wait_until(
-            lambda: not entry.candidate(known['i-1']).limit.per_s
+            lambda: not entry.candidate(known['i-1']).terms.limit.per_s
         )
 
     bench.run(body)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -173,9 +173,9 @@
     limit: str, per_s: float | None
 ) -> None:
     decoded = headers.decode_answer(200, [('server-limit', limit)])
-    assert decoded.limit_per_s == per_s
-    assert decoded.limit_unreadable == (per_s is None)
-    assert not headers.decode_answer(200, []).limit_unreadable
+    assert decoded.statement.limit_per_s == per_s
+    assert bool(decoded.statement.unreadable) == (per_s is None)
+    assert not headers.decode_answer(200, []).statement.unreadable
 
 
 def test_the_load_and_the_refusal_of_an_answer_are_decoded() -> None:
