--- a/tests/test_fleet_request_limits.py
+++ b/tests/test_fleet_request_limits.py
@@ -161,7 +161,7 @@
             'i-1',
             'plain',
             Script(
-                says=(exchange_headers.limit(9)),
+                says=(exchange_headers.limit(9),),
             ),
         )
         await running.call('/look/', 'a1')
