Send nothing to an endpoint before the time that it named with its 503

What went wrong: an endpoint that turned a request away with Retry-After got the next one as soon as a slot seemed free, 19 within the 1.5 s that it had named in the test.

It holds for retries and queued requests alike, as all go through one choice. Where every endpoint that a request may use is held or limited so that its turn comes too late, it is refused at once with the shortest of the times, also while it waits in the queue.

--- a/packages/core/src/camphorstair_core/fleet/request_limits.py
+++ b/packages/core/src/camphorstair_core/fleet/request_limits.py
@@ -7,7 +7,6 @@
 waits as well, by its place among them, so that they do not all send at once.
 """
 
-import heapq
 import math
 
 import attrs
@@ -100,29 +99,3 @@
         return MAX_INTERVAL_S * max(1, sharing.users / most)
     users = min(sharing.users, most)
     return min(users / (per_s * USED_SHARE), MAX_INTERVAL_S)
-
-
-def start_s(
-    limits: list[tuple[RequestLimit, Sharing]],
-    queued: int,
-    now_s: float,
-) -> float:
-    """Return when a request that is queued now may be sent.
-
-    :param limits: The limits of the endpoints that it may use.
-    :param queued: Number of requests that go first.
-    :param now_s: The current time.
-    :returns: The current time if some endpoint names no limit, as the limits do
-        not hold the request up then.
-    """
-    turns = []
-    for limit, sharing in limits:
-        if limit.per_s is None:
-            return now_s
-        step_s = interval_s(limit.per_s, sharing)
-        turns.append((max(now_s, limit.next_send_s), step_s))
-    heapq.heapify(turns)
-    for _ in range(queued if turns else 0):
-        turn_s, step_s = turns[0]
-        heapq.heapreplace(turns, (turn_s + step_s, step_s))
-    return turns[0][0] if turns else now_s
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -167,6 +167,21 @@
     queue.in_progress[waiter.organisation] = running + 1
 
 
+def hopeless(queue: Queue, first_turn_s: float) -> list[Waiter]:
+    """Remove the requests that the first possible start is too late for.
+
+    :param first_turn_s: When some endpoint takes a request again.
+    :returns: The removed requests.
+    """
+    found = [
+        waiter
+        for waiter in queue.waiters
+        if waiter.latest_useful_start_s <= first_turn_s
+    ]
+    _remove(queue, found)
+    return found
+
+
 def _remove(queue: Queue, waiters: list[Waiter]) -> None:
     for waiter in waiters:
         queue.waiters.remove(waiter)
--- a/packages/entry/src/camphorstair/fleet/answer_reports.py
+++ b/packages/entry/src/camphorstair/fleet/answer_reports.py
@@ -36,6 +36,7 @@
             extra={
                 'endpoint': endpoint,
                 'leaving': terms.leaving,
+                'hold_s': round(max(0, terms.resume_s - now_s), 2),
                 'per_s': terms.limit.per_s,
                 'next_send_s': round(terms.limit.next_send_s - now_s, 2),
                 'request': answer.attempt,
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -9,8 +9,8 @@
 from camphorstair.fleet import endpoint_choice, state
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
+    endpoint_terms,
     placement,
-    request_limits,
     roster,
     waiting,
 )
@@ -102,6 +102,7 @@
                 queue.waiters.remove(waiter)
         if pending.granted is None:
             self._check_quarantine(waiter)
+            self._check_terms(waiter, self.choice.usable(service), 0)
             raise self.refusal(
                 service, errors.overloaded, 'no endpoint was free in time'
             )
@@ -126,8 +127,8 @@
     async def serve_queue(self, service: str) -> None:
         """Assign free endpoints of a service to its queued requests.
 
-        Requests that can no longer be answered in time, or that would crash
-        engines, are dropped.
+        Requests that can no longer be answered in time, that the endpoints'
+        terms hold up for too long, or that would crash engines, are dropped.
         """
         queue = self.entry.queue(service)
         now_s = clocks.monotonic_s()
@@ -135,10 +136,12 @@
         dropped += waiting.quarantined(
             queue, self.entry.crashes.quarantined, now_s
         )
+        usable = self.choice.usable(service) if queue.waiters else []
+        dropped += waiting.hopeless(queue, _first_turn_s(usable, now_s))
         for waiter in dropped:
             await self.pending_requests[waiter].decided.set()
         if queue.waiters:
-            await self._grant(service, self.choice.usable(service))
+            await self._grant(service, usable)
 
     def refusal(
         self,
@@ -225,10 +228,10 @@
         usable_names = {
             candidate.endpoint.registration.endpoint for candidate in usable
         }
-        now_s = clocks.monotonic_s()
         if usable_names - waiter.excluded:
-            self._check_limits(waiter, usable, len(queue.waiters), now_s)
+            self._check_terms(waiter, usable, len(queue.waiters))
             return
+        now_s = clocks.monotonic_s()
         if not roster.is_forming(self.entry.endpoints, service, now_s):
             raise self.refusal(
                 service,
@@ -236,33 +239,44 @@
                 f'no endpoint of service {service} takes requests',
             )
 
-    def _check_limits(
+    def _check_terms(
         self,
         waiter: waiting.Waiter,
         usable: list[placement.Candidate],
         queued: int,
-        now_s: float,
     ) -> None:
-        """Refuse a request whose turn comes too late by the named limits.
+        """Refuse a request whose turn comes too late by the endpoints' terms.
 
-        :raises errors.RequestError: if all endpoints that it may use name
-            limits by which it can't be sent in time.
+        :param queued: Number of requests that go first.
+        :raises errors.RequestError: if all endpoints that it may use want
+            nothing before a time, or name limits, by which it can't be sent in
+            time.
         """
-        limits = [
-            (candidate.terms.limit, candidate.sharing())
-            for candidate in usable
-            if candidate.endpoint.registration.endpoint not in waiter.excluded
-        ]
-        start_s = request_limits.start_s(limits, queued, now_s)
-        if start_s >= waiter.latest_useful_start_s:
+        now_s = clocks.monotonic_s()
+        endpoints = (
+            (row.terms, row.sharing())
+            for row in usable
+            if row.endpoint.registration.endpoint not in waiter.excluded
+        )
+        start_s = endpoint_terms.start_s(endpoints, queued, now_s)
+        if now_s < start_s and waiter.latest_useful_start_s <= start_s:
             spread = self.entry.generator.uniform(1, RETRY_SPREAD)
             raise errors.RequestError(
                 errors.overloaded,
-                'all endpoints have named limits of requests a second',
-                retry_after_s=(start_s - now_s) * spread,
+                'no endpoint takes requests before its time or over its limit',
+                retry_after_s=max(RETRY_AFTER_S, start_s - now_s) * spread,
             )
 
 
+def _first_turn_s(
+    candidates: list[placement.Candidate],
+    now_s: float,
+) -> float:
+    """Return when the terms of some endpoint allow the next request."""
+    endpoints = ((row.terms, row.sharing()) for row in candidates)
+    return endpoint_terms.start_s(endpoints, 0, now_s)
+
+
 def status_of(error: errors.RequestError) -> int:
     """Return the HTTP status for a request that failed.
 
