--- a/packages/core/src/camphorstair_core/fleet/crash_reports.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_reports.py
@@ -82,6 +82,20 @@
     changes: int = 0
 
 
+@attrs.define
+class Incident:
+    """Crashes that happened together.
+
+    :ivar began_s: When the first one was heard of.
+    :ivar suspects: The suspects of all of them, also those that are cleared.
+    :ivar cleared: What some entry has cleared.
+    """
+
+    began_s: float
+    suspects: set[str] = attrs.field(factory=set)
+    cleared: set[str] = attrs.field(factory=set)
+
+
 @attrs.frozen
 class Culprit:
     """A part that was found to crash engines.
@@ -137,11 +151,12 @@
     :returns: Whether its reports have changed.
     """
     changed = False
+    incidents = _incidents(history)
     for name, crash in list(history.crashes.items()):
         known = tuple(
             part
             for part in sorted(crash.suspects() - crash.cleared())
-            if _is_answered(history, part, answered.last_s(part))
+            if _is_answered(incidents, part, answered.last_s(part))
         )
         if known:
             report = _report_of(history, entry, name)
@@ -196,7 +211,9 @@
     :param popularity: Returns how often a part was answered.
     """
     found: list[Culprit] = []
-    unexplained = [_suspected(incident) for incident in _incidents(history)]
+    unexplained = [
+        incident.suspects - incident.cleared for incident in _incidents(history)
+    ]
     latest = unexplained[-1] if unexplained else set()
     while True:
         likely = _most_suspected(unexplained, popularity)
@@ -231,25 +248,20 @@
     }
 
 
-def _suspected(incident: list[Crash]) -> set[str]:
-    """Return the parts that are suspected in an incident and not cleared."""
-    suspects = _union(crash.suspects() for crash in incident)
-    return suspects - _union(crash.cleared() for crash in incident)
-
-
-def _incidents(history: CrashHistory) -> list[list[Crash]]:
-    """Return the crashes, those that happened together in one list."""
-    incidents: list[list[Crash]] = []
+def _incidents(history: CrashHistory) -> list[Incident]:
+    """Return the crashes, those that happened together as one incident."""
+    incidents: list[Incident] = []
     for crash in history.crashes.values():
-        began_s = incidents[-1][0].first_seen_s if incidents else None
+        began_s = incidents[-1].began_s if incidents else None
         if began_s is None or crash.first_seen_s - began_s >= INCIDENT_S:
-            incidents.append([])
-        incidents[-1].append(crash)
+            incidents.append(Incident(crash.first_seen_s))
+        incidents[-1].suspects |= crash.suspects()
+        incidents[-1].cleared |= crash.cleared()
     return incidents
 
 
 def _is_answered(
-    history: CrashHistory,
+    incidents: list[Incident],
     part: str,
     answered_s: float | None,
 ) -> bool:
@@ -258,15 +270,10 @@
         return False
     since = [
         incident
-        for incident in _incidents(history)
-        if incident[0].first_seen_s > answered_s
-    ]
-    suspected = [
-        incident
-        for incident in since
-        if any(part in crash.suspects() for crash in incident)
+        for incident in incidents
+        if incident.began_s > answered_s and part in incident.suspects
     ]
-    return len(suspected) <= MAX_INCIDENTS_SINCE_ANSWER
+    return len(since) <= MAX_INCIDENTS_SINCE_ANSWER
 
 
 def _union(groups: abc.Iterable[abc.Iterable[str]]) -> set[str]:
--- a/packages/core/src/camphorstair_core/fleet/quarantine.py
+++ b/packages/core/src/camphorstair_core/fleet/quarantine.py
@@ -33,14 +33,10 @@
 
     deadline_s: dict[str, float] = attrs.field(factory=dict)
 
-    def add(self, part: str, deadline_s: float) -> bool:
-        """Quarantine a part until a deadline, or until a later one it has.
-
-        :returns: Whether it was not quarantined before.
-        """
-        before_s = self.deadline_s.get(part)
-        self.deadline_s[part] = max(before_s or 0, deadline_s)
-        return before_s is None
+    def add(self, part: str, deadline_s: float) -> None:
+        """Quarantine a part until a deadline, or until a later one it has."""
+        before_s = self.deadline_s.get(part, 0)
+        self.deadline_s[part] = max(before_s, deadline_s)
 
     def release(self, part: str) -> None:
         """Release a part, if it is quarantined."""
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -223,6 +223,7 @@
         crashes.quarantine_eras[part] = era
     elif crashes.quarantine_eras.get(part) == era:
         crashes.quarantined.release(part)
+        crashes.quarantine_eras.pop(part)
     _LOG.info(
         'quarantine of a prompt part %s',
         'removed' if content is None else 'read',
