Refuse new requests late in a shutdown instead of cutting them off

Cause: an entry under load took requests until its grace period ended, as long as any other was in progress; what was begun in the last two seconds was cut at its end.

test_an_entry_that_stops_under_load_cuts_off_no_stream_that_it_took failed before (four of the streams of four callers were cut), and passes.

--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -20,6 +20,8 @@
 DEFAULT_LIMIT_S = 60.0
 # Time after the deadline for the endpoint to answer that it stopped.
 ENDPOINT_GRACE_S = 0.1
+# Retry-after of an entry that shuts down: the directory names others already.
+LEAVING_RETRY_AFTER_S = 0.1
 # Logged in place of an infinite age, before the store has answered once.
 UNCONFIRMED_AGE_S = 1e6
 
@@ -90,6 +92,7 @@
         :raises errors.RequestError: if there is no configuration or no route,
             or the caller is not authorized.
         """
+        self._check_serving()
         configuration = self.entry.configuration
         if configuration is None:
             raise errors.RequestError(
@@ -130,6 +133,18 @@
             stream=stream_progress.StreamProgress(caller_headers.last_event),
         )
 
+    def _check_serving(self) -> None:
+        """Refuse a request that comes late in a shutdown.
+
+        :raises errors.RequestError: if no answer may be begun any more.
+        """
+        if clocks.monotonic_s() >= self.entry.refuse_from_s:
+            raise errors.RequestError(
+                errors.leaving,
+                'this entry is shutting down',
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+            )
+
     def _organisation(
         self,
         configuration: catalogue.Catalogue,
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -225,13 +225,17 @@
     """Shut down gracefully.
 
     Leaves the directory, serves until cached directory answers have expired,
-    finishes the requests in progress and closes the connections. Requests
-    that still run when the grace period ends, less its reserve, are not
-    waited for.
+    refuses new requests from then on, finishes those in progress and closes
+    the connections. Requests that still run when the grace period ends, less
+    its reserve, are not waited for.
     """
     callers = process.callers
     grace_s = process.entry.settings.bounds.grace_s - GRACE_RESERVE_S
-    deadline_s = clocks.monotonic_s() + grace_s
+    began_s = clocks.monotonic_s()
+    deadline_s = began_s + grace_s
+    process.entry.refuse_from_s = began_s + min(
+        membership.ANSWER_TTL_S * ANSWER_CACHE_FACTOR, grace_s
+    )
     _LOG.info('shutting down', extra={'in_progress': len(callers.active)})
     callers.announce_close()
     await process.joining.leave()
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -1,5 +1,6 @@
 """The state of an entry process of a fleet."""
 
+import math
 import random
 from collections import abc
 
@@ -55,6 +56,8 @@
     :ivar connection_pool: Pool of idle connections to endpoints.
     :ivar crashes: What is known of engines that crash under prompts.
     :ivar leaving: Whether the entry is shutting down.
+    :ivar refuse_from_s: When a shutdown begins to refuse new requests, as there
+        may be too little time left for their answers; monotonic clock.
     """
 
     settings: boot.BootSettings
@@ -81,6 +84,7 @@
         factory=crash_state.CrashState
     )
     leaving: bool = False
+    refuse_from_s: float = math.inf
     _shares: dict[str, subsetting.SharesByEndpoint] = attrs.field(factory=dict)
     _shares_version: tuple[int, int] = (0, 0)
 
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -1,5 +1,6 @@
 """Tests of signals to an entry that runs in its own process."""
 
+import http
 import pathlib
 import signal
 import subprocess
@@ -26,6 +27,7 @@
 from camphorstair_standins import loopback
 
 EVENTS = 12
+CALLERS = 4
 GAP_S = 0.05
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 20.0
@@ -167,3 +169,55 @@
         await stream.close()
 
     assert curio.run(_with_process, tmp_path, body) == 0
+
+
+async def _call_until_exit(
+    told: boot.BootSettings,
+    process: subprocess.Popen[bytes],
+) -> list[bytes]:
+    """Open streams one after the other until the process has ended.
+
+    :returns: The bodies of those that the entry took, also incomplete ones.
+    """
+    bodies = []
+    while process.poll() is None:
+        try:
+            stream = await _open_stream(told)
+        except http_client.HttpError:
+            await curio.sleep(GAP_S)
+            continue
+        if stream.status == http.HTTPStatus.OK:
+            bodies.append(await _read_until_end(stream))
+        await stream.close()
+        await curio.sleep(GAP_S)
+    return bodies
+
+
+async def _read_until_end(stream: http_client.Exchange) -> bytes:
+    body = b''
+    try:
+        while chunk := await stream.read():
+            body += chunk
+    except http_client.HttpError:
+        return body
+    return body
+
+
+def test_an_entry_that_stops_under_load_cuts_off_no_stream_that_it_took(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def body(
+        told: boot.BootSettings,
+        process: subprocess.Popen[bytes],
+    ) -> None:
+        process.send_signal(signal.SIGTERM)
+        tasks = [
+            await curio.spawn(_call_until_exit, told, process)
+            for _ in range(CALLERS)
+        ]
+        bodies = [each for task in tasks for each in await task.join()]
+        last_event = b'id: %d\ndata: x\n\n' % EVENTS
+        assert len(bodies) > CALLERS
+        assert all(each.endswith(last_event) for each in bodies)
+
+    assert curio.run(_with_process, tmp_path, body) == 0
