--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -27,6 +27,9 @@
 # Time for the other entries to clear the suspects of a report.
 CLEARANCE_S = 0.4
 RETRY_INTERVAL_S = 0.5
+# Longest random delay before a key that the store has lost is written again,
+# so that mostly one entry does so.
+RESTORE_DELAY_S = 1.0
 # A conclusion that lengthens a quarantine by less than this is no news.
 MIN_EXTENSION_S = 5.0
 
@@ -57,6 +60,7 @@
             self.entry.crashes.news.clear()
             await curio.sleep(GATHER_S)
             await self._publish_reports()
+            await self._restore_lost()
             await curio.sleep(CLEARANCE_S)
             await self._conclude()
 
@@ -81,6 +85,31 @@
         await curio.sleep(RETRY_INTERVAL_S)
         await self.entry.crashes.news.set()
 
+    async def _restore_lost(self) -> None:
+        """Write the keys of quarantined parts that the store has lost."""
+        crashes = self.entry.crashes
+        lost = [
+            part
+            for part, era in crashes.quarantine_eras.items()
+            if era != crashes.store_era
+        ]
+        if lost:
+            delay_s = self.entry.generator.uniform(0, RESTORE_DELAY_S)
+            await curio.sleep(delay_s)
+        for part in lost:
+            if crashes.quarantine_eras.get(part) != crashes.store_era:
+                await self._restore(part)
+
+    async def _restore(self, part: str) -> None:
+        """Write the key of a quarantined part for as long as it is refused."""
+        found = self.entry.crashes.quarantined.find(
+            (part,), clocks.monotonic_s()
+        )
+        if found is None or found.remaining_s < MIN_EXTENSION_S:
+            self.entry.crashes.quarantine_eras.pop(part)
+        else:
+            await self._write(keys.quarantined(part), found, found.remaining_s)
+
     async def _conclude(self) -> None:
         """Quarantine the parts that were found to crash engines."""
         history = self.entry.crashes.history
@@ -175,26 +204,29 @@
     entry: state.FleetEntry,
     part: str,
     content: bytes | None,
-    *,
-    lost: bool,
+    era: int,
 ) -> None:
     """Apply a change of a quarantined part's key.
 
+    If the store has come back from an older copy and has lost the key, the part
+    stays quarantined until its deadline.
+
     :param content: The value of the key; None if the key was removed.
-    :param lost: Whether keys may be missing because of an outage of the store;
-        a part then stays quarantined until its deadline.
+    :param era: Era of the store.
     :raises fields.FormatError: if the value can't be decoded.
     """
+    crashes = entry.crashes
     if content is not None:
         row = _decode(content, quarantine.QuarantinedPart)
         deadline_s = clocks.monotonic_s() + row.remaining_s
-        entry.crashes.quarantined.add(part, deadline_s)
-    elif not lost:
-        entry.crashes.quarantined.release(part)
+        crashes.quarantined.add(part, deadline_s)
+        crashes.quarantine_eras[part] = era
+    elif crashes.quarantine_eras.get(part) == era:
+        crashes.quarantined.release(part)
     _LOG.info(
         'quarantine of a prompt part %s',
         'removed' if content is None else 'read',
-        extra={'part': part, 'lost': lost},
+        extra={'part': part, 'era': era},
     )
 
 
--- a/packages/entry/src/camphorstair/fleet/crash_state.py
+++ b/packages/entry/src/camphorstair/fleet/crash_state.py
@@ -15,7 +15,10 @@
     :ivar history: The crashes that entries have reported.
     :ivar quarantined: Parts of prompts that no engine is sent.
     :ivar checks: Checks whether an engine's process has ended.
-    :ivar news: Set when a crash was reported.
+    :ivar quarantine_eras: Era of the store in which the key of each quarantined
+        part was read last.
+    :ivar store_era: Era of the store that this entry follows.
+    :ivar news: Set when a crash was reported or the store's era has changed.
     """
 
     answered: answered_parts.AnsweredParts = attrs.field(
@@ -27,6 +30,8 @@
     quarantined: quarantine.Quarantine = attrs.field(
         factory=quarantine.Quarantine
     )
+    quarantine_eras: dict[str, int] = attrs.field(factory=dict)
+    store_era: int = 0
     checks: crash_checks.CrashChecks = attrs.field(
         factory=crash_checks.CrashChecks
     )
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -86,11 +86,19 @@
 
     async def _finish_round(self) -> None:
         self.entry.listed = self.mirror.listed()
-        if self.entry.crashes.history.changes != self._crash_changes:
-            self._crash_changes = self.entry.crashes.history.changes
-            await self.entry.crashes.news.set()
+        await self._tell_crash_reporter()
         await self.dispatcher.serve_queues()
 
+    async def _tell_crash_reporter(self) -> None:
+        """Tell the crash reporter of new reports and of a new era."""
+        crashes = self.entry.crashes
+        era = self.mirror.known.era
+        unchanged = (self._crash_changes, crashes.store_era)
+        if unchanged != (crashes.history.changes, era):
+            self._crash_changes = crashes.history.changes
+            crashes.store_era = era
+            await crashes.news.set()
+
     def _apply(self, item: store_copy.Item) -> None:
         if item.key.startswith(registrations.PREFIX):
             self._apply_endpoint(item)
@@ -130,7 +138,7 @@
                 self.entry,
                 item.key.removeprefix(keys.QUARANTINE_PREFIX),
                 item.content,
-                lost=self.mirror.absent_deadline_s() is not None,
+                self.mirror.known.era,
             )
 
     def _apply_data_centre_out(self, item: store_copy.Item) -> None:
--- a/tests/test_fleet_crashing_prompts.py
+++ b/tests/test_fleet_crashing_prompts.py
@@ -9,7 +9,9 @@
 import pytest
 
 from camphorstair.fleet import serving
-from camphorstair_platform_standins import crashing, documents
+from camphorstair_core.fleet import store_copy
+from camphorstair_fleet import keys
+from camphorstair_platform_standins import crashing, documents, scripted
 from camphorstair_runtime import clocks, http_client
 from camphorstair_standins import loopback
 
@@ -17,6 +19,10 @@
 FIRST_PART = '5c1e07a2'
 ENGINES = 3
 RESTART_S = 0.3
+# As many drafts as an endpoint runs concurrently keep it busy.
+SLOTS = 4
+FINAL_ANSWER_LIMIT_S = 0.5
+BUSY = scripted.Script(events=8, gap_s=0.4)
 FIRST_ROUNDS = 12
 LATER_ROUNDS = 10
 # After the fifth crash and this time, at most this many requests with the part
@@ -24,6 +30,7 @@
 CONTACT_S = 3.0
 MAX_CRASHES = 5
 MAX_LATER_ARRIVALS = 3
+QUARANTINE_LIMIT_S = 20.0
 
 
 @attrs.define(eq=False)
@@ -44,11 +51,8 @@
 
     async def start(self) -> None:
         """Start the second entry and the engines."""
-        await self.bench.add_entry('front-2')
-        self.entries = [
-            self.bench.process,
-            await self.bench.add_entry('front-3'),
-        ]
+        second = await self.bench.add_entry('front-2')
+        self.entries = [self.bench.process, second]
         for number in range(ENGINES):
             await curio.spawn(self._keep_engine, number, daemon=True)
         known = self.bench.entry.endpoints.endpoints
@@ -93,26 +97,36 @@
             await curio.sleep(RESTART_S)
 
 
-@pytest.fixture
-def world() -> World:
-    return World(fleet_bench.FleetBench())
+async def _send_round(world: World) -> int:
+    """Send a draft with the part, then a sound one; return its status."""
+    await world.send_crashing()
+    await curio.sleep(RESTART_S)
+    return await world.send(FIRST_PART, 'doc')
 
 
-async def _send_in_turn(world: World, rounds: int) -> list[int]:
-    """Send a draft with the part and a sound one each round.
+async def _quarantine(world: World) -> None:
+    """Crash engines until all entries refuse the part."""
+    await world.start()
+    async with curio.timeout_after(QUARANTINE_LIMIT_S):
+        while not all(
+            process.entry.crashes.quarantined.deadline_s
+            for process in world.entries
+        ):
+            await _send_round(world)
 
-    Ends early at the fifth crash.
 
-    :returns: The statuses of the sound ones.
-    """
-    statuses = []
-    for _ in range(rounds):
-        if len(world.crashes_s) >= MAX_CRASHES and rounds == FIRST_ROUNDS:
-            break
-        await world.send_crashing()
-        await curio.sleep(RESTART_S)
-        statuses.append(await world.send(FIRST_PART, 'doc'))
-    return statuses
+async def _assert_refused(world: World, process: serving.Process) -> None:
+    """Assert that an entry refuses a draft with the part, and no other."""
+    arrivals = world.arrivals
+    world.entries = [process]
+    assert await world.send_crashing() == 503
+    assert await world.send(FIRST_PART, 'doc') == 200
+    assert world.arrivals == arrivals
+
+
+@pytest.fixture
+def world() -> World:
+    return World(fleet_bench.FleetBench())
 
 
 def test_a_prompt_part_that_crashes_engines_stops_reaching_them(
@@ -122,11 +136,79 @@
         await world.start()
         for _ in range(4):
             assert await world.send(FIRST_PART, 'doc') == 200
-        await _send_in_turn(world, FIRST_ROUNDS)
+        for _ in range(FIRST_ROUNDS):
+            if len(world.crashes_s) < MAX_CRASHES:
+                await _send_round(world)
         await curio.sleep(CONTACT_S)
         before = world.arrivals
-        sound = await _send_in_turn(world, LATER_ROUNDS)
+        sound = [await _send_round(world) for _ in range(LATER_ROUNDS)]
         assert world.arrivals - before <= MAX_LATER_ARRIVALS
         assert sound.count(200) >= LATER_ROUNDS / 2
 
     world.bench.run(body)
+
+
+def test_an_entry_that_starts_later_refuses_the_part(world: World) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await _quarantine(world)
+        await _assert_refused(world, await running.add_entry('front-9'))
+
+    world.bench.run(body)
+
+
+def test_the_part_stays_refused_after_the_store_lost_its_key(
+    world: World,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        earlier = running.store.copy_content()
+        await _quarantine(world)
+        key = keys.quarantined(CRASHING_PART)
+        assert key in running.store.rows
+        registrations = {
+            name: row
+            for name, row in running.store.rows.items()
+            if name.startswith('servers/')
+        }
+        running.store.come_back(earlier)
+        for name, row in registrations.items():
+            running.store.put(name, row.content)
+        await running.wait_until(lambda: key in running.store.rows)
+        await curio.sleep(store_copy.RETURN_LIMIT_S)
+        await _assert_refused(world, running.process)
+        await _assert_refused(world, await running.add_entry('front-9'))
+
+    world.bench.run(body)
+
+
+def test_an_operator_releases_a_part_by_removing_its_key(world: World) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await _quarantine(world)
+        running.store.remove(keys.quarantined(CRASHING_PART))
+        quarantined = running.entry.crashes.quarantined
+        await running.wait_until(lambda: not quarantined.deadline_s)
+
+    world.bench.run(body)
+
+
+def test_a_queued_request_with_a_found_part_is_refused_at_once(
+    world: World,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_endpoint('i-1', 'engine', BUSY)
+        tasks = [
+            await curio.spawn(running.call, '/draft/', f'b{number}')
+            for number in range(SLOTS)
+        ]
+        await running.wait_until(lambda: running.entry.queues)
+        world.entries = [running.process]
+        queued = await curio.spawn(world.send_crashing)
+        queue = running.entry.queue('engine')
+        await running.wait_until(lambda: queue.waiters)
+        found_s = clocks.monotonic_s()
+        running.entry.crashes.quarantined.add(CRASHING_PART, found_s + 60)
+        assert await queued.join() == 503
+        assert clocks.monotonic_s() - found_s < FINAL_ANSWER_LIMIT_S
+        for task in tasks:
+            await task.cancel()
+
+    world.bench.run(body)
