--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/answer_progress.py
@@ -0,0 +1,45 @@
+"""Tells whether an engine gets on with an answer.
+
+An engine that crashes under a prompt does so as it begins to write. One that
+goes on writing has answered the parts of the prompt.
+"""
+
+import attrs
+
+from camphorstair.fleet import crash_state
+from camphorstair_runtime import clocks
+
+# An engine that writes on for this long after its first event has not crashed
+# under the prompt.
+PROGRESS_S = 0.25
+
+
+@attrs.define(eq=False)
+class AnswerProgress:
+    """The progress of one answer.
+
+    :ivar crashes: Where the parts of the prompt are recorded as answered.
+    :ivar parts: The parts of the prompt that other prompts share.
+    :ivar first_event_s: When the first event of a stream came; None before.
+    :ivar proven: Whether the engine has answered for ``PROGRESS_S``, or
+        completely.
+    """
+
+    crashes: crash_state.CrashState
+    parts: tuple[str, ...]
+    first_event_s: float | None = None
+    proven: bool = False
+
+    def note_events(self) -> None:
+        """Note that events have come; the first ones prove nothing yet."""
+        now_s = clocks.monotonic_s()
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        elif now_s - self.first_event_s >= PROGRESS_S:
+            self.note_complete()
+
+    def note_complete(self) -> None:
+        """Note that the engine has answered the prompt."""
+        if not self.proven:
+            self.proven = True
+            self.crashes.answered.record(self.parts, clocks.monotonic_s())
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -4,8 +4,15 @@
 
 import attrs
 
-from camphorstair.fleet import answer_reports, calls, connections, state
-from camphorstair_core import errors, event_stream, verdicts
+from camphorstair.fleet import (
+    answer_progress,
+    answer_reports,
+    calls,
+    connections,
+    state,
+    stream_relaying,
+)
+from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import placement
 from camphorstair_platform import headers
 from camphorstair_runtime import (
@@ -17,11 +24,6 @@
 
 # Answers to other requests that are skipped before an attempt fails.
 MAX_MISMATCHED_ANSWERS = 4
-# An engine that writes on for this long after its first event has not crashed
-# under the prompt.
-PROGRESS_S = 0.25
-# Longest event of a stream. A faulty endpoint may send bytes without end.
-MAX_EVENT_BYTES = 1024 * 1024
 
 
 class AttemptError(Exception):
@@ -77,10 +79,7 @@
     :ivar answered: Whether the head of the answer was received.
     :ivar first_part_s: Time at which the first part of the answer was sent to
         the caller.
-    :ivar first_event_s: Time at which the first event of a stream came; None
-        before.
-    :ivar progressed: Whether the engine has answered for ``PROGRESS_S`` or
-        completely.
+    :ivar progress: The progress of the answer.
     """
 
     entry: state.FleetEntry
@@ -90,8 +89,13 @@
     left: bool = False
     answered: bool = False
     first_part_s: float = 0
-    first_event_s: float | None = None
-    progressed: bool = False
+    progress: answer_progress.AnswerProgress = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start without any progress."""
+        self.progress = answer_progress.AnswerProgress(
+            self.entry.crashes, self.call.caller_headers.prompt_parts
+        )
 
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
@@ -210,7 +214,7 @@
         else:
             whole = await _read_response(exchange)
             self.first_part_s = clocks.monotonic_s()
-            self._record_progress()
+            self.progress.note_complete()
             await self.call.responder.respond(whole)
 
     async def _raise_failure(
@@ -234,81 +238,19 @@
     async def _relay_stream(self, exchange: http_client.Exchange) -> None:
         """Send the whole events of a stream to the caller.
 
-        :raises http_client.HttpError: if the stream ends within an event, or
-            without any and without a length, or the attempt was aborted.
+        :raises http_client.HttpError: if the stream is incomplete or the
+            attempt was aborted.
         """
-        splitter = event_stream.EventSplitter()
-        stream = self.call.stream
-        resumed = self.call.responder.started
-        chunk = await exchange.read()
-        while chunk is not None:
-            events = splitter.feed(chunk)
-            if events:
-                self._note_events()
-                await self._send_events(
-                    exchange, stream.take(events, resumed=resumed)
-                )
-            if len(splitter.pending) > MAX_EVENT_BYTES:
-                raise http_client.HttpError(
-                    f'an event is longer than {MAX_EVENT_BYTES} bytes',
-                    sent=True,
-                )
-            chunk = await exchange.read()
+        relay = stream_relaying.StreamRelay(self.call, exchange, self.progress)
+        try:
+            await relay.run()
+        finally:
+            self.first_part_s = relay.first_part_s
         if self.left:
             raise http_client.HttpError(
                 'the stream was moved from a slow rank', sent=True
             )
-        if splitter.pending:
-            raise http_client.HttpError(
-                'the stream ended within an event', sent=True
-            )
-        if self.first_event_s is not None:
-            self._record_progress()
-        elif not exchange.framed:
-            raise http_client.HttpError(
-                'the stream ended before its first event', sent=True
-            )
-        await self._finish_stream(exchange)
-
-    def _note_events(self) -> None:
-        """Note that events have come; the first ones do not prove progress."""
-        now_s = clocks.monotonic_s()
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        elif now_s - self.first_event_s >= PROGRESS_S:
-            self._record_progress()
-
-    def _record_progress(self) -> None:
-        """Record that an engine answers the shared parts of the prompt."""
-        if self.progressed:
-            return
-        self.progressed = True
-        self.entry.crashes.answered.record(
-            self.call.caller_headers.prompt_parts, clocks.monotonic_s()
-        )
-
-    async def _send_events(
-        self,
-        exchange: http_client.Exchange,
-        events: bytes,
-    ) -> None:
-        """Send events to the caller, after the headers if none were sent."""
-        if not events:
-            return
-        responder = self.call.responder
-        if not responder.started:
-            self.first_part_s = clocks.monotonic_s()
-            response_headers = headers.for_caller(exchange.headers)
-            await responder.start(exchange.status, response_headers)
-        await responder.send(events)
-
-    async def _finish_stream(self, exchange: http_client.Exchange) -> None:
-        """End the stream; a stream without events has headers only."""
-        responder = self.call.responder
-        if not responder.started:
-            response_headers = headers.for_caller(exchange.headers)
-            await responder.start(exchange.status, response_headers)
-        await responder.finish()
+        await relay.finish()
 
 
 def _is_success(status: int) -> bool:
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -22,7 +22,7 @@
     """
     call = attempt.call
     parts = call.caller_headers.prompt_parts
-    if not parts or attempt.progressed or attempt.left:
+    if not parts or attempt.progress.proven or attempt.left:
         return False
     if failure.verdict is not verdicts.Verdict.may_have_run:
         return False
--- /dev/null
+++ b/packages/entry/src/camphorstair/fleet/stream_relaying.py
@@ -0,0 +1,96 @@
+"""Relays the whole events of a stream from an endpoint to a caller."""
+
+import attrs
+
+from camphorstair.fleet import answer_progress, calls
+from camphorstair_core import event_stream
+from camphorstair_platform import headers
+from camphorstair_runtime import clocks, http_client
+
+# Longest event of a stream. A faulty endpoint may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+@attrs.define(eq=False)
+class StreamRelay:
+    """Relays the stream of one attempt.
+
+    :ivar call: The request.
+    :ivar exchange: The connection to the endpoint, whose answer's head was
+        read.
+    :ivar progress: The progress of the answer.
+    :ivar first_part_s: When the first event was sent to the caller; 0 before,
+        and if an earlier attempt has begun the answer.
+    :ivar splitter: Splits the received bytes into events.
+    """
+
+    call: calls.Call
+    exchange: http_client.Exchange
+    progress: answer_progress.AnswerProgress
+    first_part_s: float = 0
+    splitter: event_stream.EventSplitter = attrs.field(
+        factory=event_stream.EventSplitter
+    )
+
+    async def run(self) -> None:
+        """Relay events until the endpoint ends the stream.
+
+        The end is not passed on; ``finish`` does that.
+
+        :raises http_client.HttpError: if the connection breaks or an event is
+            too long.
+        """
+        resumed = self.call.responder.started
+        chunk = await self.exchange.read()
+        while chunk is not None:
+            events = self.splitter.feed(chunk)
+            if events:
+                self.progress.note_events()
+                await self._send_events(
+                    self.call.stream.take(events, resumed=resumed)
+                )
+            self._check_event_length()
+            chunk = await self.exchange.read()
+
+    async def finish(self) -> None:
+        """End the stream to the caller; one without events has a head only.
+
+        :raises http_client.HttpError: if the endpoint ended the stream within
+            an event, or without a length before the first one.
+        """
+        if self.splitter.pending:
+            raise http_client.HttpError(
+                'the stream ended within an event', sent=True
+            )
+        if self.progress.first_event_s is not None:
+            self.progress.note_complete()
+        elif not self.exchange.framed:
+            raise http_client.HttpError(
+                'the stream ended before its first event', sent=True
+            )
+        await self._start()
+        await self.call.responder.finish()
+
+    def _check_event_length(self) -> None:
+        if len(self.splitter.pending) > MAX_EVENT_BYTES:
+            raise http_client.HttpError(
+                f'an event is longer than {MAX_EVENT_BYTES} bytes',
+                sent=True,
+            )
+
+    async def _send_events(self, events: bytes) -> None:
+        """Send events to the caller, after the head if it was not sent."""
+        if not events:
+            return
+        if not self.call.responder.started:
+            self.first_part_s = clocks.monotonic_s()
+        await self._start()
+        await self.call.responder.send(events)
+
+    async def _start(self) -> None:
+        """Send the head of the answer, unless it was sent."""
+        if not self.call.responder.started:
+            response_headers = headers.for_caller(self.exchange.headers)
+            await self.call.responder.start(
+                self.exchange.status, response_headers
+            )
--- a/tests/test_fleet_endless_answers.py
+++ b/tests/test_fleet_endless_answers.py
@@ -6,7 +6,7 @@
 import fleet_bench
 import pytest
 
-from camphorstair.fleet import attempts
+from camphorstair.fleet import stream_relaying
 from camphorstair_core.fleet import stream_progress
 from camphorstair_platform_standins import exchange_headers, scripted
 from camphorstair_runtime import http_client
@@ -106,7 +106,7 @@
         await running.wait_until(lambda: endpoint.closed)
 
     bench.run(body)
-    assert attempts.MAX_EVENT_BYTES < http_client.MAX_BODY_BYTES
+    assert stream_relaying.MAX_EVENT_BYTES < http_client.MAX_BODY_BYTES
 
 
 def test_a_slow_sound_stream_is_not_cut(bench: fleet_bench.FleetBench) -> None:
--- a/tests/test_fleet_unframed_answers.py
+++ b/tests/test_fleet_unframed_answers.py
@@ -66,7 +66,7 @@
 
 @pytest.mark.parametrize(
     ('body', 'complete'),
-    [(EVENT, True), (EVENT + b'id: 2\nda', False), (b'id: 1\ndat', False)],
+    [(EVENT, True), (b'id: 1\n\nid: 2\nda', False), (b'id: 1\ndat', False)],
 )
 def test_a_stream_is_complete_if_it_ends_after_an_event(
     bench: fleet_bench.FleetBench, body: bytes, complete: bool
