--- a/packages/core/src/camphorstair_core/fleet/roster.py
+++ b/packages/core/src/camphorstair_core/fleet/roster.py
@@ -114,7 +114,7 @@
     :returns: The endpoint; a new object if the endpoint is new or restarted.
     """
     endpoint = roster.endpoints.get(registration.endpoint)
-    if endpoint is None or _restarted(endpoint.registration, registration):
+    if endpoint is None or restarted(endpoint.registration, registration):
         _remove(roster, registration.endpoint)
         endpoint = Endpoint(registration, now_s)
         _add(roster, endpoint)
@@ -227,6 +227,13 @@
     return any(now_s - rank.first_seen_s < FORMING_S for rank in ranks)
 
 
+def restarted(before: Registration, after: Registration) -> bool:
+    """Return whether a registration is that of another start of an endpoint."""
+    if before.address != after.address:
+        return True
+    return 0 < before.born_ms < after.born_ms
+
+
 def _add(roster: Roster, endpoint: Endpoint) -> None:
     registration = endpoint.registration
     name = registration.endpoint
@@ -250,9 +257,3 @@
 def _formation(endpoint: Endpoint) -> tuple[str, int] | None:
     membership = endpoint.registration.membership
     return (membership.group, membership.epoch) if membership else None
-
-
-def _restarted(before: Registration, after: Registration) -> bool:
-    if before.address != after.address:
-        return True
-    return 0 < before.born_ms < after.born_ms
--- a/packages/entry/src/camphorstair/fleet/answer_reports.py
+++ b/packages/entry/src/camphorstair/fleet/answer_reports.py
@@ -35,6 +35,7 @@
             'terms of an endpoint have changed',
             extra={
                 'endpoint': endpoint,
+                'leaving': terms.leaving,
                 'per_s': terms.limit.per_s,
                 'next_send_s': round(terms.limit.next_send_s - now_s, 2),
                 'request': answer.attempt,
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -148,8 +148,8 @@
     ) -> errors.RequestError:
         """Return the error for a request that has not run.
 
-        Its retry-after is longer if the service has no registered endpoint or
-        a rank group must form again.
+        Its retry-after is longer if the service has no registered endpoint, all
+        of them leave, or a rank group must form again.
         """
         now_s = clocks.monotonic_s()
         registered = self.choice.registered(service)
@@ -159,7 +159,7 @@
         )
         base_s = (
             REOPEN_RETRY_AFTER_S
-            if any_closed or not registered
+            if any_closed or all(row.terms.leaving for row in registered)
             else RETRY_AFTER_S
         )
         spread = self.entry.generator.uniform(1, RETRY_SPREAD)
--- a/packages/entry/src/camphorstair/fleet/endpoint_choice.py
+++ b/packages/entry/src/camphorstair/fleet/endpoint_choice.py
@@ -27,13 +27,14 @@
     def usable(self, service: str) -> list[placement.Candidate]:
         """Return the open endpoints of a service that are not slow ranks.
 
+        Endpoints that have said that they leave are left out.
         Ejected endpoints are returned only if all open ones are ejected.
         """
         now_s = clocks.monotonic_s()
         open_candidates = [
             candidate
             for candidate in self.registered(service)
-            if not is_closed(candidate, now_s)
+            if not is_closed(candidate, now_s) and not candidate.terms.leaving
         ]
         healthy = [
             candidate
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -158,15 +158,21 @@
     def candidate(self, endpoint: roster.Endpoint) -> placement.Candidate:
         """Return the load and health of an endpoint.
 
-        Both are reset when the endpoint has restarted.
+        Both are reset when the endpoint has restarted or registered anew. What
+        it has said of itself is reset only when it has restarted.
         """
         name = endpoint.registration.endpoint
-        candidate = self.candidates.get(name)
-        if candidate is None or candidate.endpoint is not endpoint:
-            candidate = placement.Candidate(
-                endpoint, placement.Load(), ejection.Health()
-            )
-            self.candidates[name] = candidate
+        before = self.candidates.get(name)
+        if before is not None and before.endpoint is endpoint:
+            return before
+        candidate = placement.Candidate(
+            endpoint, placement.Load(), ejection.Health()
+        )
+        if before is not None and not roster.restarted(
+            before.endpoint.registration, endpoint.registration
+        ):
+            candidate.terms = before.terms
+        self.candidates[name] = candidate
         return candidate
 
     def queue(self, service: str) -> waiting.Queue:
--- a/tests/test_fleet_request_limits.py
+++ b/tests/test_fleet_request_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from camphorstair.fleet import serving
-from camphorstair_platform_standins import scripted
+from camphorstair_platform_standins import exchange_headers, scripted
 from camphorstair_runtime import clocks, http_messages
 
 Script = scripted.Script
@@ -81,7 +81,7 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         limited = await running.add_endpoint(
-            'i-1', 'plain', Script(limit=str(PER_S))
+            'i-1', 'plain', Script(says=(exchange_headers.limit(PER_S),))
         )
         await running.add_endpoint('i-2', 'plain')
         entries = await _start_entries(running)
@@ -98,7 +98,7 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         endpoint = await running.add_endpoint(
-            'i-1', 'plain', Script(limit='4'), Script()
+            'i-1', 'plain', Script(says=(exchange_headers.limit(4),)), Script()
         )
         await running.call('/look/', 'a1')
         candidate = running.entry.candidates['i-1']
@@ -119,7 +119,7 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         endpoint = await running.add_endpoint(
-            'i-1', 'plain', Script(limit='0.1')
+            'i-1', 'plain', Script(says=(exchange_headers.limit(0.1),))
         )
         assert (await running.call('/look/', 'a1')).status == 200
         asked_s = clocks.monotonic_s()
@@ -140,7 +140,10 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         await running.add_endpoint(
-            'i-1', 'plain', Script(limit='9'), Script(limit='much')
+            'i-1',
+            'plain',
+            Script(says=(exchange_headers.limit(9),)),
+            Script(says=(exchange_headers.limit('much'),)),
         )
         for attempt in ('a1', 'a2'):
             assert (await running.call('/look/', attempt)).status == 200
@@ -154,7 +157,13 @@
     bench: fleet_bench.FleetBench,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        await running.add_endpoint('i-1', 'plain', Script(limit='9'))
+        await running.add_endpoint(
+            'i-1',
+            'plain',
+            Script(
+                says=(exchange_headers.limit(9)),
+            ),
+        )
         await running.call('/look/', 'a1')
         known = running.entry.endpoints.endpoints
         address = known['i-1'].registration.address
