--- a/packages/core/src/camphorstair_core/fleet/crash_reports.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_reports.py
@@ -76,10 +76,13 @@
 
     :ivar crashes: The crashes by identifier.
     :ivar changes: Number of reports added or replaced so far.
+    :ivar released_s: When an operator has released a part; earlier crashes do
+        not count against it.
     """
 
     crashes: dict[str, Crash] = attrs.field(factory=dict)
     changes: int = 0
+    released_s: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -190,8 +193,16 @@
     )
 
 
+def release(history: CrashHistory, part: str, now_s: float) -> None:
+    """Record that an operator has released a part."""
+    history.released_s[part] = now_s
+
+
 def expire(history: CrashHistory, now_s: float) -> None:
-    """Remove the crashes that no longer count."""
+    """Remove the crashes and releases that no longer count."""
+    for part, released_s in list(history.released_s.items()):
+        if now_s - released_s > REPORT_LIFE_S:
+            history.released_s.pop(part)
     for name, crash in list(history.crashes.items()):
         if now_s - crash.first_seen_s > REPORT_LIFE_S:
             history.crashes.pop(name)
@@ -212,7 +223,7 @@
     """
     found: list[Culprit] = []
     unexplained = [
-        incident.suspects - incident.cleared for incident in _incidents(history)
+        _counted_suspects(history, incident) for incident in _incidents(history)
     ]
     latest = unexplained[-1] if unexplained else set()
     while True:
@@ -248,6 +259,15 @@
     }
 
 
+def _counted_suspects(history: CrashHistory, incident: Incident) -> set[str]:
+    """Return the suspects of an incident, not cleared and not released since."""
+    return {
+        part
+        for part in incident.suspects - incident.cleared
+        if history.released_s.get(part, 0) < incident.began_s
+    }
+
+
 def _incidents(history: CrashHistory) -> list[Incident]:
     """Return the crashes, those that happened together as one incident."""
     incidents: list[Incident] = []
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -13,7 +13,7 @@
 import curio
 import msgspec
 
-from camphorstair.fleet import dispatch, state
+from camphorstair.fleet import crash_state, dispatch, state
 from camphorstair_core.fleet import crash_reports, quarantine
 from camphorstair_fleet import keys
 from camphorstair_platform import fields, store, store_errors
@@ -30,7 +30,8 @@
 # Longest random delay before a key that the store has lost is written again,
 # so that mostly one entry does so.
 RESTORE_DELAY_S = 1.0
-# A conclusion that lengthens a quarantine by less than this is no news.
+# A conclusion that lengthens a quarantine by less than this is no news, nor is
+# the removal of a key that has less time left.
 MIN_EXTENSION_S = 5.0
 
 Content = typing.TypeVar('Content')
@@ -222,8 +223,7 @@
         crashes.quarantined.add(part, deadline_s)
         crashes.quarantine_eras[part] = era
     elif crashes.quarantine_eras.get(part) == era:
-        crashes.quarantined.release(part)
-        crashes.quarantine_eras.pop(part)
+        _release(crashes, part)
     _LOG.info(
         'quarantine of a prompt part %s',
         'removed' if content is None else 'read',
@@ -231,6 +231,20 @@
     )
 
 
+def _release(crashes: crash_state.CrashState, part: str) -> None:
+    """Release a part whose key was removed.
+
+    If its lease has not ended, an operator has removed it, and the crashes so
+    far do not count any more.
+    """
+    now_s = clocks.monotonic_s()
+    found = crashes.quarantined.find((part,), now_s)
+    if found is not None and found.remaining_s > MIN_EXTENSION_S:
+        crash_reports.release(crashes.history, part, now_s)
+    crashes.quarantined.release(part)
+    crashes.quarantine_eras.pop(part)
+
+
 def _decode(content: bytes, kind: type[Content]) -> Content:
     try:
         return msgspec.json.decode(content, type=kind)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -144,6 +144,23 @@
     assert not entries[0].found()
 
 
+def test_a_released_part_is_found_only_by_later_crashes(
+    entries: list[Knowledge],
+) -> None:
+    for number in range(2):
+        _crash(entries, number, [(0, (BAD,))], 1 + LATER_S * number)
+    assert entries[1].found() == {BAD}
+    for entry in entries:
+        crash_reports.release(entry.history, BAD, 2 + LATER_S)
+    # A late report of a crash before the release.
+    _crash(entries, 1, [(2, ('rare1',))], 3 + LATER_S)
+    assert not entries[1].found()
+    for number in range(2, 4):
+        assert not entries[1].found()
+        _crash(entries, number, [(0, (BAD,))], 1 + LATER_S * number)
+    assert entries[1].found() == {BAD}
+
+
 def test_reports_are_bounded_and_expire(entries: list[Knowledge]) -> None:
     entry = entries[0]
     for number in range(crash_reports.MAX_CRASHES + 50):
--- a/tests/test_fleet_crashing_prompts.py
+++ b/tests/test_fleet_crashing_prompts.py
@@ -6,10 +6,11 @@
 import attrs
 import curio
 import fleet_bench
+import msgspec
 import pytest
 
-from camphorstair.fleet import serving
-from camphorstair_core.fleet import store_copy
+from camphorstair.fleet import crash_reporting, serving
+from camphorstair_core.fleet import quarantine, store_copy
 from camphorstair_fleet import keys
 from camphorstair_platform_standins import crashing, documents, scripted
 from camphorstair_runtime import clocks, http_client
@@ -190,6 +191,22 @@
     world.bench.run(body)
 
 
+@pytest.mark.parametrize(('remaining_s', 'forgets'), [(60, True), (1, False)])
+def test_only_an_operator_makes_earlier_crashes_not_count(
+    remaining_s: float, forgets: bool
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        entry = running.entry
+        row = quarantine.QuarantinedPart(CRASHING_PART, remaining_s)
+        content = msgspec.json.encode(row)
+        for value in (content, None):
+            crash_reporting.apply_quarantine(entry, CRASHING_PART, value, 1)
+        assert not entry.crashes.quarantined.deadline_s
+        assert bool(entry.crashes.history.released_s) == forgets
+
+    fleet_bench.FleetBench().run(body)
+
+
 def test_a_queued_request_with_a_found_part_is_refused_at_once(
     world: World,
 ) -> None:
