Log what makes a request the same, whatever its attempt, and how long attempts take

The logs could not tell the hypotheses apart: an attempt that breaks off has an id of its own each time, and a request without a prompt was not looked at when its endpoint's process ended. Now 'attempt failed', 'the engine crashed before it answered' and 'answered' bear an identity (a digest of caller, host, method, target and body), 'attempt failed' how long the attempt took, and the check whether the process has ended is made for all requests. What is reported to other entries is unchanged.

--- a/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
+++ b/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
@@ -6,7 +6,7 @@
 
 from camphorstair.fleet import attempts, calls, state
 from camphorstair_core import verdicts
-from camphorstair_core.fleet import ejection, placement, roster
+from camphorstair_core.fleet import ejection, roster
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
@@ -42,13 +42,9 @@
         if failure.misdirected:
             roster.mark_address_taken(self.entry.endpoints, candidate.endpoint)
         if not attempt.left and not failure.timed_out():
-            self._record_failure(candidate, str(failure), failure.verdict)
+            self._record_failure(attempt, str(failure), failure.verdict)
 
-    def record_unanswered(
-        self,
-        attempt: attempts.Attempt,
-        began_s: float,
-    ) -> None:
+    def record_unanswered(self, attempt: attempts.Attempt) -> None:
         """Record a cancelled attempt that had no answer as a failure.
 
         An attempt is cancelled when its time runs out or the caller
@@ -64,10 +60,10 @@
             # The ranks of a group work in lockstep, and each serves requests in
             # order of arrival, so a rank is compared only with itself.
             peers = [candidate.health]
-        if ejection.hangs(peers, began_s, now_s):
+        if ejection.hangs(peers, attempt.began_s, now_s):
             self._record_failure(
-                candidate,
-                f'no answer in {now_s - began_s:.1f} s',
+                attempt,
+                f'no answer in {now_s - attempt.began_s:.1f} s',
                 verdicts.Verdict.may_have_run,
             )
 
@@ -91,6 +87,7 @@
             'answered',
             extra={
                 'request': call.caller_headers.attempt,
+                'identity': call.identity,
                 'route': call.route.name,
                 'version': call.version,
                 'endpoint': attempt.candidate.endpoint.registration.endpoint,
@@ -103,13 +100,15 @@
 
     def _record_failure(
         self,
-        candidate: placement.Candidate,
+        attempt: attempts.Attempt,
         reason: str,
         verdict: verdicts.Verdict,
     ) -> None:
         """Count a failure of an endpoint, which may eject it, and log it."""
+        candidate = attempt.candidate
+        now_s = clocks.monotonic_s()
         ejected = ejection.record_failure(
-            candidate.health, self._service_health(), clocks.monotonic_s()
+            candidate.health, self._service_health(), now_s
         )
         if ejected:
             self.entry.meters.ejections.add(1)
@@ -118,10 +117,12 @@
             reason,
             extra={
                 'request': self.call.caller_headers.attempt,
+                'identity': self.call.identity,
                 'endpoint': candidate.endpoint.registration.endpoint,
                 'verdict': verdict.value,
                 'ejected': ejected,
                 'events': self.call.stream.events,
+                'attempt_s': round(now_s - attempt.began_s, 3),
                 'prompt': ','.join(self.call.caller_headers.prompt_parts),
             },
         )
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -79,6 +79,7 @@
     :ivar answered: Whether the head of the answer was received.
     :ivar first_part_s: Time at which the first part of the answer was sent to
         the caller.
+    :ivar began_s: When the attempt began.
     :ivar progress: The progress of the answer.
     """
 
@@ -89,6 +90,7 @@
     left: bool = False
     answered: bool = False
     first_part_s: float = 0
+    began_s: float = attrs.field(factory=clocks.monotonic_s)
     progress: answer_progress.AnswerProgress = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -21,6 +21,7 @@
     :ivar service: The service that it is sent to.
     :ivar organisation: Name of the organisation that owns its key; empty if
         there is none.
+    :ivar identity: Identifies the request when it comes again.
     :ivar responder: Sends the answer to the caller.
     :ivar received_s: Time at which the request was received.
     :ivar deadline_s: Time by which the answer must be complete.
@@ -39,6 +40,7 @@
     version: int
     service: str
     organisation: str
+    identity: str
     responder: http_server.Responder
     received_s: float
     deadline_s: float
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -22,7 +22,7 @@
     """
     call = attempt.call
     parts = call.caller_headers.prompt_parts
-    if not parts or attempt.progress.proven or attempt.left:
+    if attempt.progress.proven or attempt.left:
         return False
     if failure.verdict is not verdicts.Verdict.may_have_run:
         return False
@@ -35,13 +35,15 @@
         'the engine crashed before it answered',
         extra={
             'request': call.caller_headers.attempt,
+            'identity': call.identity,
             'endpoint': registration.endpoint,
             'crash': crash,
             'prompt': ','.join(parts),
             'unanswered': ','.join(_unanswered(entry, parts)),
         },
     )
-    await crash_reporting.report_suspects(entry, crash, parts)
+    if parts:
+        await crash_reporting.report_suspects(entry, crash, parts)
     return True
 
 
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -98,11 +98,10 @@
         """
         attempt = attempts.Attempt(self.entry, self.call, candidate)
         endpoint = candidate.endpoint.registration.endpoint
-        began_s = clocks.monotonic_s()
         try:
             await self._run_movable(attempt, endpoint)
         except curio.CancelledError:
-            self.outcomes.record_unanswered(attempt, began_s)
+            self.outcomes.record_unanswered(attempt)
             raise
         except attempts.AttemptError as failure:
             self.outcomes.record_failed(attempt, failure)
@@ -113,7 +112,7 @@
             return failure
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
-        ejection.record_success(candidate.health, began_s)
+        ejection.record_success(candidate.health, attempt.began_s)
         self.outcomes.record_answered(attempt, self.queued_s)
         return None
 
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -10,6 +10,7 @@
 from camphorstair_core.fleet import (
     catalogue,
     content_age,
+    request_identity,
     stream_progress,
     waiting,
 )
@@ -119,13 +120,15 @@
             now_s + limit_s,
             self.entry.caller_times.elapsed_s(route, caller_limit_s),
         )
+        name = organisation.name if organisation else ''
         return calls.Call(
             request=request,
             caller_headers=caller_headers,
             route=route,
             version=configuration.version,
             service=self._service(route),
-            organisation=organisation.name if organisation else '',
+            organisation=name,
+            identity=_identity(request, name or caller_headers.key),
             responder=responder,
             received_s=now_s,
             deadline_s=now_s + limit_s,
@@ -265,6 +268,19 @@
     return waiting.Waiter(name, priority, now_s)
 
 
+def _identity(request: http_messages.Request, caller: str) -> str:
+    """Return what identifies a request when it comes again."""
+    return request_identity.identity(
+        request_identity.RequestContent(
+            caller,
+            request.header('host').lower(),
+            request.method,
+            request.target,
+            request.body,
+        )
+    )
+
+
 async def _run_to_outcome(
     request_forwarding: forwarding.Forwarding,
 ) -> Exception | None:
