--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -182,7 +182,6 @@
         path: str,
         attempt: str = 'a1',
         *,
-        method: str = 'POST',
         key: str = KEY,
         entry: serving.Process | None = None,
         body: bytes = b'body',
@@ -201,7 +200,7 @@
         request_headers.extend(
             (name.replace('_', '-'), value) for name, value in headers.items()
         )
-        request = http_messages.Request(method, path, request_headers, body)
+        request = http_messages.Request('POST', path, request_headers, body)
         told = entry.entry.settings if entry else self.told
         exchange = await http_client.connect(told.callers_address)
         await http_client.send(exchange, HOST, request)
