--- a/packages/core/src/camphorstair_core/errors.py
+++ b/packages/core/src/camphorstair_core/errors.py
@@ -46,6 +46,10 @@
     'prompt_quarantined',
     http.HTTPStatus.SERVICE_UNAVAILABLE,
 )
+request_quarantined = ErrorCode(
+    'request_quarantined',
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
 no_configuration = ErrorCode(
     'no_configuration',
     http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/packages/core/src/camphorstair_core/fleet/crash_reports.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_reports.py
@@ -1,14 +1,13 @@
-"""Finds the parts of prompts under which engines crash.
+"""What entries report to each other of the crashes of endpoints.
 
-A part of a prompt may crash each engine that begins to answer it. Such a
-request must not be sent to one engine after the other. Several requests run on
-an engine when it crashes, and each entry knows only its own, so the entries
-report to each other which parts were in the prompts that had no answer yet.
+A request, or a part of its prompt, may crash each endpoint that begins to run
+it. Several requests run on an endpoint when it crashes, and each entry knows
+only its own, so the entries report to each other which ones had no answer yet.
 
-A part is suspected while no entry has seen an answer to it. Parts that other
-prompts share, as a common first part, are soon cleared: an entry that has
-answered them says so. A part that stays suspected in several incidents is
-found to crash engines.
+A suspect is a request, by its identity, or a part of a prompt. It is suspected
+while no entry has seen an answer to it. Parts that other prompts share, as a
+common first part, are soon cleared: an entry that has answered them says so.
+``crash_culprits`` tells which suspects are found to crash endpoints.
 """
 
 import itertools
@@ -16,16 +15,6 @@
 
 import attrs
 
-from camphorstair_core.fleet import answered_parts
-
-# Crashes within this time count as one incident: a rack or a group that fails
-# as a whole says little about the prompts there.
-INCIDENT_S = 1.0
-# Incidents in which a part must be suspected.
-MIN_INCIDENTS = 2
-# Incidents since the last answer to a part up to which it counts as answered: a
-# new version of the weights may crash on what was answered before.
-MAX_INCIDENTS_SINCE_ANSWER = 2
 # Reports older than this no longer count.
 REPORT_LIFE_S = 300.0
 MAX_CRASHES = 256
@@ -38,16 +27,19 @@
 class CrashReport:
     """What one entry knows of the crash of an engine.
 
-    :ivar crash: Identifies the engine's process that crashed.
-    :ivar suspects: Parts of the prompts that the entry had sent to the engine
-        and that had no answer yet.
+    :ivar crash: Identifies the endpoint's process that crashed.
+    :ivar suspects: The requests that the entry had sent to the endpoint and
+        that had no answer yet, and the parts of their prompts.
     :ivar cleared: Suspects, its own or those of others, that the entry has seen
         answered.
+    :ivar repeated: The requests that the entry knew, as it sent them, to be
+        suspects of an earlier crash.
     """
 
     crash: str
     suspects: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
+    repeated: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -69,6 +61,10 @@
         """Return what some entry has cleared."""
         return _union(report.cleared for report in self.reports.values())
 
+    def repeated(self) -> set[str]:
+        """Return the requests sent though an earlier crash was known."""
+        return _union(report.repeated for report in self.reports.values())
+
 
 @attrs.define
 class CrashHistory:
@@ -76,39 +72,28 @@
 
     :ivar crashes: The crashes by identifier.
     :ivar changes: Number of reports added or replaced so far.
-    :ivar released_s: When an operator has released a part; earlier crashes do
-        not count against it.
+    :ivar released_s: When a suspect was released; earlier crashes do not count
+        against it.
+    :ivar suspected: The suspects of all these crashes, not released since.
     """
 
     crashes: dict[str, Crash] = attrs.field(factory=dict)
     changes: int = 0
     released_s: dict[str, float] = attrs.field(factory=dict)
-
-
-@attrs.define
-class Incident:
-    """Crashes that happened together.
-
-    :ivar began_s: When the first one was heard of.
-    :ivar suspects: The suspects of all of them, also those that are cleared.
-    :ivar cleared: What some entry has cleared.
-    """
-
-    began_s: float
-    suspects: set[str] = attrs.field(factory=set)
-    cleared: set[str] = attrs.field(factory=set)
+    suspected: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
-class Culprit:
-    """A part that was found to crash engines.
+class Suspicion:
+    """What one request makes suspect when its endpoint crashes.
 
-    :ivar part: The part.
-    :ivar sole: Whether no other part explains the same incidents.
+    :ivar suspects: The request and the parts of its prompt.
+    :ivar repeated: The request, if an earlier crash under it was known as it
+        was sent.
     """
 
-    part: str
-    sole: bool
+    suspects: tuple[str, ...]
+    repeated: tuple[str, ...] = ()
 
 
 def add_report(
@@ -123,52 +108,29 @@
         return
     crash.reports[entry] = report
     history.changes += 1
+    history.suspected.update(_counted(history, crash))
     while len(history.crashes) > MAX_CRASHES:
         history.crashes.pop(next(iter(history.crashes)))
+        _collect_suspected(history)
 
 
 def add_suspects(
     history: CrashHistory,
     entry: str,
     crash: str,
-    parts: abc.Iterable[str],
+    suspicion: Suspicion,
     now_s: float,
 ) -> None:
-    """Add the parts of one more prompt to an entry's report of a crash."""
-    report = _report_of(history, entry, crash)
-    suspects = dict.fromkeys((*report.suspects, *parts))
-    limited = tuple(suspects)[:MAX_REPORTED_PARTS]
-    add_report(history, entry, attrs.evolve(report, suspects=limited), now_s)
-
-
-def clear_answered(
-    history: CrashHistory,
-    entry: str,
-    answered: answered_parts.AnsweredParts,
-    now_s: float,
-) -> bool:
-    """Clear the suspects that an entry has seen answered.
-
-    :param entry: The entry, whose reports are updated.
-    :param answered: The parts that it has seen answered.
-    :returns: Whether its reports have changed.
-    """
-    changed = False
-    incidents = _incidents(history)
-    for name, crash in list(history.crashes.items()):
-        known = tuple(
-            part
-            for part in sorted(crash.suspects() - crash.cleared())
-            if _is_answered(incidents, part, answered.last_s(part))
-        )
-        if known:
-            report = _report_of(history, entry, name)
-            cleared = (*report.cleared, *known)
-            add_report(
-                history, entry, attrs.evolve(report, cleared=cleared), now_s
-            )
-            changed = True
-    return changed
+    """Add what one more request makes suspect to an entry's report."""
+    report = report_of(history, entry, crash)
+    suspects = dict.fromkeys((*report.suspects, *suspicion.suspects))
+    repeated = dict.fromkeys((*report.repeated, *suspicion.repeated))
+    extended = attrs.evolve(
+        report,
+        suspects=tuple(suspects)[:MAX_REPORTED_PARTS],
+        repeated=tuple(repeated)[:MAX_REPORTED_PARTS],
+    )
+    add_report(history, entry, extended, now_s)
 
 
 def published(
@@ -193,9 +155,21 @@
     )
 
 
+def has_report(history: CrashHistory, entry: str, crash: str) -> bool:
+    """Return whether an entry's report of a crash is known."""
+    known = history.crashes.get(crash)
+    return known is not None and entry in known.reports
+
+
+def is_suspected(history: CrashHistory, suspect: str) -> bool:
+    """Return whether a suspect was at an endpoint that crashed."""
+    return suspect in history.suspected
+
+
 def release(history: CrashHistory, part: str, now_s: float) -> None:
-    """Record that an operator has released a part."""
+    """Record that a suspect was released."""
     history.released_s[part] = now_s
+    history.suspected.discard(part)
 
 
 def expire(history: CrashHistory, now_s: float) -> None:
@@ -206,101 +180,30 @@
     for name, crash in list(history.crashes.items()):
         if now_s - crash.first_seen_s > REPORT_LIFE_S:
             history.crashes.pop(name)
+            _collect_suspected(history)
 
 
-def culprits(
-    history: CrashHistory,
-    popularity: abc.Callable[[str], int],
-) -> list[Culprit]:
-    """Return the parts that were found to crash engines in the last incident.
-
-    The part that is suspected in most incidents explains those; another part is
-    found only by incidents that remain. Of parts suspected equally often, those
-    that were answered least are found.
-
-    :param history: The crashes.
-    :param popularity: Returns how often a part was answered.
-    """
-    found: list[Culprit] = []
-    unexplained = [
-        _counted_suspects(history, incident) for incident in _incidents(history)
-    ]
-    latest = unexplained[-1] if unexplained else set()
-    while True:
-        likely = _most_suspected(unexplained, popularity)
-        if not likely:
-            return found
-        found.extend(
-            Culprit(part, len(likely) == 1) for part in sorted(likely & latest)
-        )
-        unexplained = [
-            suspected for suspected in unexplained if not suspected & likely
-        ]
-
-
-def _most_suspected(
-    incidents: list[set[str]],
-    popularity: abc.Callable[[str], int],
-) -> set[str]:
-    """Return the parts that are suspected in the most incidents.
-
-    The set is empty if these are fewer than ``MIN_INCIDENTS``.
-    """
-    counts: dict[str, int] = {}
-    for named in itertools.chain.from_iterable(incidents):
-        counts[named] = counts.get(named, 0) + 1
-    most = max(counts.values(), default=0)
-    if most < MIN_INCIDENTS:
-        return set()
-    likely = [part for part, count in counts.items() if count == most]
-    fewest_answers = min(map(popularity, likely))
-    return {
-        suspect for suspect in likely if popularity(suspect) == fewest_answers
-    }
+def _collect_suspected(history: CrashHistory) -> None:
+    history.suspected = _union(
+        _counted(history, crash) for crash in history.crashes.values()
+    )
 
 
-def _counted_suspects(history: CrashHistory, incident: Incident) -> set[str]:
-    """Return the suspects of an incident, not cleared and not released since."""
+def _counted(history: CrashHistory, crash: Crash) -> set[str]:
+    """Return the suspects of a crash that were not released since."""
     return {
-        part
-        for part in incident.suspects - incident.cleared
-        if history.released_s.get(part, 0) < incident.began_s
+        suspect
+        for suspect in crash.suspects()
+        if history.released_s.get(suspect, 0) < crash.first_seen_s
     }
 
 
-def _incidents(history: CrashHistory) -> list[Incident]:
-    """Return the crashes, those that happened together as one incident."""
-    incidents: list[Incident] = []
-    for crash in history.crashes.values():
-        began_s = incidents[-1].began_s if incidents else None
-        if began_s is None or crash.first_seen_s - began_s >= INCIDENT_S:
-            incidents.append(Incident(crash.first_seen_s))
-        incidents[-1].suspects |= crash.suspects()
-        incidents[-1].cleared |= crash.cleared()
-    return incidents
-
-
-def _is_answered(
-    incidents: list[Incident],
-    part: str,
-    answered_s: float | None,
-) -> bool:
-    """Return whether the last answer to a part still clears it."""
-    if answered_s is None:
-        return False
-    since = [
-        incident
-        for incident in incidents
-        if incident.began_s > answered_s and part in incident.suspects
-    ]
-    return len(since) <= MAX_INCIDENTS_SINCE_ANSWER
-
-
 def _union(groups: abc.Iterable[abc.Iterable[str]]) -> set[str]:
     return set(itertools.chain.from_iterable(groups))
 
 
-def _report_of(history: CrashHistory, entry: str, crash: str) -> CrashReport:
+def report_of(history: CrashHistory, entry: str, crash: str) -> CrashReport:
+    """Return an entry's report of a crash, or an empty one."""
     known = history.crashes.get(crash)
     reports = known.reports if known else {}
     return reports.get(entry) or CrashReport(crash)
--- a/packages/core/src/camphorstair_core/fleet/request_identity.py
+++ b/packages/core/src/camphorstair_core/fleet/request_identity.py
@@ -33,6 +33,11 @@
     body: bytes
 
 
+def is_identity(suspect: str) -> bool:
+    """Return whether a suspect is a request, rather than a prompt part."""
+    return suspect.startswith(PREFIX)
+
+
 def identity(content: RequestContent) -> str:
     """Return an identifier that all copies of a request share."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -37,7 +37,8 @@
     :ivar latest_useful_start_s: Latest start at which the answer can be
         complete by its deadline.
     :ivar excluded: Endpoints that it must not be sent to.
-    :ivar prompt_parts: The parts of its prompt that other prompts share.
+    :ivar suspects: What in it may crash endpoints: its identity and the parts
+        of its prompt that other prompts share.
     """
 
     organisation: str
@@ -46,7 +47,7 @@
     latest_timely_start_s: float = 0
     latest_useful_start_s: float = 0
     excluded: set[str] = attrs.field(factory=set)
-    prompt_parts: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -148,13 +149,13 @@
     known: quarantine.Quarantine,
     now_s: float,
 ) -> list[Waiter]:
-    """Remove the requests with a quarantined part and return them."""
+    """Remove the quarantined requests and return them."""
     if not known.deadline_s:
         return []
     found = [
         waiter
         for waiter in queue.waiters
-        if known.find(waiter.prompt_parts, now_s) is not None
+        if known.find(waiter.suspects, now_s) is not None
     ]
     _remove(queue, found)
     return found
--- a/packages/entry/src/camphorstair/fleet/answer_progress.py
+++ b/packages/entry/src/camphorstair/fleet/answer_progress.py
@@ -1,7 +1,7 @@
-"""Tells whether an engine gets on with an answer.
+"""Tells whether an endpoint gets on with an answer.
 
-An engine that crashes under a prompt does so as it begins to write. One that
-goes on writing has answered the parts of the prompt.
+One that crashes under a request does so as it begins to run it, or to write.
+One that goes on writing has answered the request and the parts of its prompt.
 """
 
 import attrs
@@ -10,7 +10,7 @@
 from camphorstair_runtime import clocks
 
 # An engine that writes on for this long after its first event has not crashed
-# under the prompt.
+# under the request.
 PROGRESS_S = 0.25
 
 
@@ -18,15 +18,15 @@
 class AnswerProgress:
     """The progress of one answer.
 
-    :ivar crashes: Where the parts of the prompt are recorded as answered.
-    :ivar parts: The parts of the prompt that other prompts share.
+    :ivar crashes: Where the suspects are recorded as answered.
+    :ivar suspects: What in the request may crash endpoints.
     :ivar first_event_s: When the first event of a stream came; None before.
     :ivar proven: Whether the engine has answered for ``PROGRESS_S``, or
         completely.
     """
 
     crashes: crash_state.CrashState
-    parts: tuple[str, ...]
+    suspects: tuple[str, ...]
     first_event_s: float | None = None
     proven: bool = False
 
@@ -42,4 +42,4 @@
         """Note that the engine has answered the prompt."""
         if not self.proven:
             self.proven = True
-            self.crashes.answered.record(self.parts, clocks.monotonic_s())
+            self.crashes.answered.record(self.suspects, clocks.monotonic_s())
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -13,7 +13,7 @@
     stream_relaying,
 )
 from camphorstair_core import errors, verdicts
-from camphorstair_core.fleet import placement
+from camphorstair_core.fleet import crash_reports, placement
 from camphorstair_platform import headers
 from camphorstair_runtime import (
     clocks,
@@ -81,6 +81,8 @@
         the caller.
     :ivar began_s: When the attempt began.
     :ivar progress: The progress of the answer.
+    :ivar repeated: Whether it was known as the attempt began that an endpoint
+        had crashed with this request.
     """
 
     entry: state.FleetEntry
@@ -92,11 +94,15 @@
     first_part_s: float = 0
     began_s: float = attrs.field(factory=clocks.monotonic_s)
     progress: answer_progress.AnswerProgress = attrs.field(init=False)
+    repeated: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start without any progress."""
+        self.repeated = crash_reports.is_suspected(
+            self.entry.crashes.history, self.call.identity
+        )
         self.progress = answer_progress.AnswerProgress(
-            self.entry.crashes, self.call.caller_headers.prompt_parts
+            self.entry.crashes, self.call.waiter.suspects
         )
 
     async def run(self) -> None:
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -1,9 +1,9 @@
 """Exchanges reports of crashes with the other entries, through the store.
 
 Each entry writes its reports to a key of its own. All entries read them and
-come to the same conclusion about the parts of prompts that crash engines. An
-entry that had requests at the engine also writes the conclusion to the store,
-for entries that start later.
+come to the same conclusion about the requests and the parts of prompts that
+crash endpoints. An entry that had requests at the endpoint also writes the
+conclusion to the store, for entries that start later.
 """
 
 import logging
@@ -14,7 +14,13 @@
 import msgspec
 
 from camphorstair.fleet import crash_state, dispatch, state
-from camphorstair_core.fleet import crash_reports, quarantine
+from camphorstair_core.fleet import (
+    crash_culprits,
+    crash_incidents,
+    crash_reports,
+    quarantine,
+    request_identity,
+)
 from camphorstair_fleet import keys
 from camphorstair_platform import fields, store, store_errors
 from camphorstair_runtime import clocks
@@ -72,7 +78,7 @@
         if crash_reports.published(history, own) == self.last_published:
             delay_s = self.entry.generator.uniform(0, CLEAR_DELAY_S)
             await curio.sleep(delay_s)
-        crash_reports.clear_answered(
+        crash_incidents.clear_answered(
             history, own, self.entry.crashes.answered, clocks.monotonic_s()
         )
         reports = crash_reports.published(history, own)
@@ -112,9 +118,9 @@
             await self._write(keys.quarantined(part), found, found.remaining_s)
 
     async def _conclude(self) -> None:
-        """Quarantine the parts that were found to crash engines."""
+        """Quarantine what was found to crash endpoints."""
         history = self.entry.crashes.history
-        found = crash_reports.culprits(
+        found = crash_culprits.culprits(
             history, self.entry.crashes.answered.count
         )
         for culprit in found:
@@ -122,7 +128,7 @@
         if found:
             await self.dispatcher.serve_queues()
 
-    async def _quarantine(self, culprit: crash_reports.Culprit) -> None:
+    async def _quarantine(self, culprit: crash_culprits.Culprit) -> None:
         """Quarantine a part; tell the store if this entry reported it."""
         limit_s = (
             quarantine.QUARANTINE_S
@@ -135,7 +141,8 @@
             return
         known.add(culprit.part, deadline_s)
         _LOG.warning(
-            'prompt part quarantined',
+            '%s quarantined',
+            _kind(culprit.part),
             extra={
                 'part': culprit.part,
                 'limit_s': limit_s,
@@ -167,14 +174,14 @@
 async def report_suspects(
     entry: state.FleetEntry,
     crash: str,
-    parts: tuple[str, ...],
+    suspicion: crash_reports.Suspicion,
 ) -> None:
-    """Report the parts of a prompt that was at an engine when it crashed."""
+    """Report a request that was at an endpoint when it crashed."""
     crash_reports.add_suspects(
         entry.crashes.history,
         entry.settings.name,
         crash,
-        parts,
+        suspicion,
         clocks.monotonic_s(),
     )
     await entry.crashes.news.set()
@@ -225,7 +232,8 @@
     elif crashes.quarantine_eras.get(part) == era:
         _release(crashes, part)
     _LOG.info(
-        'quarantine of a prompt part %s',
+        'quarantine of a %s %s',
+        _kind(part),
         'removed' if content is None else 'read',
         extra={'part': part, 'era': era},
     )
@@ -245,6 +253,11 @@
     crashes.quarantine_eras.pop(part)
 
 
+def _kind(suspect: str) -> str:
+    """Return what a suspect is, for the log."""
+    return 'request' if request_identity.is_identity(suspect) else 'prompt part'
+
+
 def _decode(content: bytes, kind: type[Content]) -> Content:
     try:
         return msgspec.json.decode(content, type=kind)
--- a/packages/entry/src/camphorstair/fleet/crash_state.py
+++ b/packages/entry/src/camphorstair/fleet/crash_state.py
@@ -1,4 +1,4 @@
-"""What an entry knows of engines that crash under prompts."""
+"""What an entry knows of endpoints that crash under requests."""
 
 import attrs
 import curio
@@ -9,14 +9,14 @@
 
 @attrs.define(eq=False)
 class CrashState:
-    """What an entry knows of engines that crash under prompts.
+    """What an entry knows of endpoints that crash under requests.
 
-    :ivar answered: Parts of prompts that engines have answered.
+    :ivar answered: Requests and parts of prompts that were answered.
     :ivar history: The crashes that entries have reported.
-    :ivar quarantined: Parts of prompts that no engine is sent.
-    :ivar checks: Checks whether an engine's process has ended.
-    :ivar quarantine_eras: Era of the store in which the key of each quarantined
-        part was read last.
+    :ivar quarantined: Requests and parts of prompts that no endpoint is sent.
+    :ivar checks: Checks whether an endpoint's process has ended.
+    :ivar quarantine_eras: Era of the store in which the key of each quarantine
+        was read last.
     :ivar store_era: Era of the store that this entry follows.
     :ivar news: Set when a crash was reported or the store's era has changed.
     """
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -1,9 +1,10 @@
-"""Reports the prompts that were at an engine when its process ended."""
+"""Reports the requests that were at an endpoint when its process ended."""
 
 import logging
 
 from camphorstair.fleet import attempts, crash_reporting, state
 from camphorstair_core import verdicts
+from camphorstair_core.fleet import crash_reports
 
 _LOG = logging.getLogger(__name__)
 
@@ -13,15 +14,15 @@
     attempt: attempts.Attempt,
     failure: attempts.AttemptError,
 ) -> bool:
-    """Find out whether a failed attempt may have crashed its engine.
+    """Find out whether a failed attempt may have crashed its endpoint.
 
-    If so, the shared parts of its prompt are reported as suspects.
+    If so, the request and the shared parts of its prompt are reported as
+    suspects.
 
-    :returns: Whether the engine's process has ended before the answer had
+    :returns: Whether the endpoint's process has ended before the answer had
         made progress.
     """
     call = attempt.call
-    parts = call.caller_headers.prompt_parts
     if attempt.progress.proven or attempt.left:
         return False
     if failure.verdict is not verdicts.Verdict.may_have_run:
@@ -32,32 +33,37 @@
     crash = f'{registration.endpoint}@{registration.born_ms}'
     entry.meters.crashes.add(1)
     _LOG.warning(
-        'the engine crashed before it answered',
+        'the endpoint crashed before it answered',
         extra={
             'request': call.caller_headers.attempt,
             'identity': call.identity,
+            'repeated': attempt.repeated,
             'endpoint': registration.endpoint,
             'crash': crash,
-            'prompt': ','.join(parts),
-            'unanswered': ','.join(_unanswered(entry, parts)),
+            'prompt': ','.join(call.caller_headers.prompt_parts),
+            'unanswered': ','.join(_unanswered_parts(entry, attempt)),
         },
     )
-    if parts:
-        await crash_reporting.report_suspects(entry, crash, parts)
+    repeated = (call.identity,) if attempt.repeated else ()
+    await crash_reporting.report_suspects(
+        entry, crash, crash_reports.Suspicion(call.waiter.suspects, repeated)
+    )
     return True
 
 
-def is_suspect(entry: state.FleetEntry, attempt: attempts.Attempt) -> bool:
-    """Return whether some part of a prompt was never answered.
+def must_not_repeat(entry: state.FleetEntry, attempt: attempts.Attempt) -> bool:
+    """Return whether a request is not sent again after its endpoint crashed.
 
-    Such a request is not sent again after it was at an engine that crashed.
+    That is so if it was at another endpoint that crashed, or if some part of
+    its prompt was never answered.
     """
-    parts = attempt.call.caller_headers.prompt_parts
-    return bool(_unanswered(entry, parts))
+    return attempt.repeated or bool(_unanswered_parts(entry, attempt))
 
 
-def _unanswered(
+def _unanswered_parts(
     entry: state.FleetEntry,
-    parts: tuple[str, ...],
+    attempt: attempts.Attempt,
 ) -> list[str]:
-    return [part for part in parts if not entry.crashes.answered.count(part)]
+    answered = entry.crashes.answered
+    parts = attempt.call.caller_headers.prompt_parts
+    return [part for part in parts if not answered.count(part)]
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -11,6 +11,8 @@
 from camphorstair_core.fleet import (
     endpoint_terms,
     placement,
+    quarantine,
+    request_identity,
     roster,
     waiting,
 )
@@ -83,8 +85,8 @@
         Each endpoint returned must be passed to ``release``.
 
         :raises errors.RequestError: if no endpoint can take the request, the
-            queue is full, or no endpoint is free in time, or if its prompt
-            crashes engines.
+            queue is full, or no endpoint is free in time, or if the request
+            crashes endpoints.
         """
         self._check_quarantine(waiter)
         usable = self.choice.usable(service)
@@ -128,7 +130,7 @@
         """Assign free endpoints of a service to its queued requests.
 
         Requests that can no longer be answered in time, that the endpoints'
-        terms hold up for too long, or that would crash engines, are dropped.
+        terms hold up for too long, or that would crash endpoints, are dropped.
         """
         queue = self.entry.queue(service)
         now_s = clocks.monotonic_s()
@@ -193,19 +195,16 @@
                 return
 
     def _check_quarantine(self, waiter: waiting.Waiter) -> None:
-        """Refuse a request whose prompt crashes engines.
+        """Refuse a request that crashes endpoints.
 
-        :raises errors.RequestError: if a part of it is quarantined.
+        :raises errors.RequestError: if it or a part of its prompt is
+            quarantined.
         """
         found = self.entry.crashes.quarantined.find(
-            waiter.prompt_parts, clocks.monotonic_s()
+            waiter.suspects, clocks.monotonic_s()
         )
         if found is not None:
-            raise errors.RequestError(
-                errors.prompt_quarantined,
-                f'engines crash on part {found.part} of the prompt',
-                retry_after_s=found.remaining_s,
-            )
+            raise _quarantine_error(found)
 
     def _check_service(
         self,
@@ -268,6 +267,22 @@
             )
 
 
+def _quarantine_error(
+    found: quarantine.QuarantinedPart,
+) -> errors.RequestError:
+    if request_identity.is_identity(found.part):
+        return errors.RequestError(
+            errors.request_quarantined,
+            f'endpoints crash under this request, {found.part}',
+            retry_after_s=found.remaining_s,
+        )
+    return errors.RequestError(
+        errors.prompt_quarantined,
+        f'engines crash on part {found.part} of the prompt',
+        retry_after_s=found.remaining_s,
+    )
+
+
 def _first_turn_s(
     candidates: list[placement.Candidate],
     now_s: float,
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -106,7 +106,7 @@
         except attempts.AttemptError as failure:
             self.outcomes.record_failed(attempt, failure)
             crashed = await crash_suspects.check(self.entry, attempt, failure)
-            failure.suspect = crashed and crash_suspects.is_suspect(
+            failure.suspect = crashed and crash_suspects.must_not_repeat(
                 self.entry, attempt
             )
             return failure
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -13,7 +13,7 @@
     :ivar retries: Retries asked of the retry budget, by whether it allowed
         them.
     :ivar ejections: Ejections of endpoints after failures.
-    :ivar crashes: Requests whose engine crashed before it answered.
+    :ivar crashes: Requests whose endpoint crashed before it answered.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -112,7 +112,8 @@
         caller_limit_s = caller_headers.limit_s or DEFAULT_LIMIT_S
         limit_s = min(route.timeout_s, caller_limit_s)
         waiter = _waiter(route, organisation, now_s)
-        waiter.prompt_parts = caller_headers.prompt_parts
+        identity = _identity(request, waiter.organisation or caller_headers.key)
+        waiter.suspects = (identity, *caller_headers.prompt_parts)
         waiting.set_deadlines(
             waiter,
             route,
@@ -120,15 +121,14 @@
             now_s + limit_s,
             self.entry.caller_times.elapsed_s(route, caller_limit_s),
         )
-        name = organisation.name if organisation else ''
         return calls.Call(
             request=request,
             caller_headers=caller_headers,
             route=route,
             version=configuration.version,
             service=self._service(route),
-            organisation=name,
-            identity=_identity(request, name or caller_headers.key),
+            organisation=waiter.organisation,
+            identity=identity,
             responder=responder,
             received_s=now_s,
             deadline_s=now_s + limit_s,
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -215,7 +215,7 @@
         membership.expire(entry.members, now_s)
         crash_reports.expire(entry.crashes.history, now_s)
         for part in entry.crashes.quarantined.expire(now_s):
-            _LOG.info('quarantine of a prompt part ended', extra={'part': part})
+            _LOG.info('quarantine ended', extra={'part': part})
         await entry.connection_pool.expire(now_s)
         moving.move_from_slow_ranks(entry, process.dispatcher)
         await process.dispatcher.serve_queues()
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -54,7 +54,7 @@
     :ivar moves: For each endpoint, the functions that move its requests to
         another one.
     :ivar connection_pool: Pool of idle connections to endpoints.
-    :ivar crashes: What is known of engines that crash under prompts.
+    :ivar crashes: What is known of endpoints that crash under requests.
     :ivar leaving: Whether the entry is shutting down.
     :ivar refuse_from_s: When a shutdown begins to refuse new requests, as there
         may be too little time left for their answers; monotonic clock.
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -4,7 +4,13 @@
 import pytest
 from hypothesis import settings, stateful, strategies
 
-from camphorstair_core.fleet import answered_parts, crash_reports, quarantine
+from camphorstair_core.fleet import (
+    answered_parts,
+    crash_culprits,
+    crash_incidents,
+    crash_reports,
+    quarantine,
+)
 
 ENTRIES = ('e1', 'e2', 'e3')
 COMMON = 'common'
@@ -32,7 +38,7 @@
 
     def found(self) -> set[str]:
         """Return the parts that this entry concludes to crash engines."""
-        culprits = crash_reports.culprits(self.history, self.answered.count)
+        culprits = crash_culprits.culprits(self.history, self.answered.count)
         return {culprit.part for culprit in culprits}
 
 
@@ -40,7 +46,7 @@
     """Let every entry read, clear and read again what the others publish."""
     for _ in range(2):
         for writer in entries:
-            crash_reports.clear_answered(
+            crash_incidents.clear_answered(
                 writer.history, writer.name, writer.answered, now_s
             )
             reports = crash_reports.published(writer.history, writer.name)
@@ -61,7 +67,11 @@
     for index, parts in prompts:
         entry = entries[index]
         crash_reports.add_suspects(
-            entry.history, entry.name, f'i-{number}@0', parts, now_s
+            entry.history,
+            entry.name,
+            f'i-{number}@0',
+            crash_reports.Suspicion(parts),
+            now_s,
         )
     _exchange(entries, now_s)
 
@@ -103,12 +113,12 @@
 ) -> None:
     for number in range(2):
         _crash(entries, number, [(0, ('rare1', BAD))], 1 + LATER_S * number)
-    culprits = crash_reports.culprits(
+    culprits = crash_culprits.culprits(
         entries[0].history, entries[0].answered.count
     )
     assert culprits == [
-        crash_reports.Culprit(BAD, sole=False),
-        crash_reports.Culprit('rare1', sole=False),
+        crash_culprits.Culprit(BAD, sole=False),
+        crash_culprits.Culprit('rare1', sole=False),
     ]
     _crash(entries, 3, [(0, (BAD,))], 1 + LATER_S * 3)
     assert entries[0].found() == {BAD}
@@ -164,9 +174,10 @@
 def test_reports_are_bounded_and_expire(entries: list[Knowledge]) -> None:
     entry = entries[0]
     for number in range(crash_reports.MAX_CRASHES + 50):
-        parts = [f'p{number}-{part}' for part in range(200)]
+        parts = tuple(f'p{number}-{part}' for part in range(200))
+        suspicion = crash_reports.Suspicion(parts, parts)
         crash_reports.add_suspects(
-            entry.history, entry.name, f'i-{number}', parts, number
+            entry.history, entry.name, f'i-{number}', suspicion, number
         )
     published = crash_reports.published(entry.history, entry.name)
     assert len(entry.history.crashes) == crash_reports.MAX_CRASHES
