Keep what is known of crashes in the store over restarts and outages

What went wrong, found while the same cause was looked for elsewhere: an entry that restarted overwrote the reports of its earlier process with its next one, so that half of the evidence was gone for entries that started later; a conclusion drawn while the store did not answer was never written, so that entries that start later send the culprit on; reports were not written again to a store that came back from an older copy.

Cause: the reporter wrote once, as something changed here, and never compared what the store has with what it knows.

Change: it takes over the reports of its earlier process, writes what the store does not have (reports by content and era, conclusions until they are written) and tries again each half second while something is missing.

Tests: the three of test_fleet_crash_evidence failed before (one report of two; two keys missing after 10 s), all pass.

--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -46,6 +46,8 @@
     :ivar client: Client of the store.
     :ivar keeper: Writes the conclusions to the store.
     :ivar last_published: The reports that the store has of this entry.
+    :ivar published_era: Era of the store in which they were written.
+    :ivar unwritten: Conclusions of this entry that the store does not have.
     """
 
     entry: state.FleetEntry
@@ -53,6 +55,8 @@
     client: store.StoreClient
     keeper: quarantining.QuarantineKeeper
     last_published: tuple[crash_reports.CrashReport, ...] = ()
+    published_era: int = 0
+    unwritten: set[str] = attrs.field(factory=set)
 
     async def run(self) -> None:
         """Handle news of crashes until cancelled."""
@@ -60,59 +64,89 @@
             await self.entry.crashes.news.wait()
             self.entry.crashes.news.clear()
             await curio.sleep(GATHER_S)
-            await self._publish_reports()
-            await self._restore_lost()
-            await self._end_answered()
+            published = await self._publish_reports()
             await curio.sleep(CLEARANCE_S)
             await self._conclude()
+            written = await self._write_quarantines()
+            ended = await self._end_answered()
+            if not (published and written and ended):
+                await curio.sleep(RETRY_INTERVAL_S)
+                await self.entry.crashes.news.set()
 
-    async def _publish_reports(self) -> None:
-        """Write this entry's reports to the store if they have changed."""
+    async def _publish_reports(self) -> bool:
+        """Write this entry's reports to the store if it does not have them.
+
+        :returns: Whether it has them.
+        """
         own = self.entry.settings.name
-        history = self.entry.crashes.history
-        if crash_reports.published(history, own) == self.last_published:
+        crashes = self.entry.crashes
+        if crash_reports.published(crashes.history, own) == self.last_published:
             delay_s = self.entry.generator.uniform(0, CLEAR_DELAY_S)
             await curio.sleep(delay_s)
         crash_incidents.clear_answered(
-            history, own, self.entry.crashes.answered, clocks.monotonic_s()
+            crashes.history, own, crashes.answered, clocks.monotonic_s()
         )
-        reports = crash_reports.published(history, own)
-        if reports == self.last_published:
-            return
-        if await self._write(
-            keys.crash_reports(own), reports, crash_reports.REPORT_LIFE_S
+        reports = crash_reports.published(crashes.history, own)
+        era = crashes.store_era
+        if not reports or (reports, era) == (
+            self.last_published,
+            self.published_era,
         ):
+            return True
+        written = await self._write(
+            keys.crash_reports(own), reports, crash_reports.REPORT_LIFE_S
+        )
+        if written:
             self.last_published = reports
-            return
-        await curio.sleep(RETRY_INTERVAL_S)
-        await self.entry.crashes.news.set()
+            self.published_era = era
+        return written
 
-    async def _restore_lost(self) -> None:
-        """Write the keys of quarantines that the store has lost."""
-        crashes = self.entry.crashes
-        holds = crashes.quarantined.holds
+    async def _write_quarantines(self) -> bool:
+        """Write the keys of quarantines that the store does not have.
+
+        :returns: Whether it has them.
+        """
+        for concluded in list(self.unwritten):
+            held = self._is_held(concluded)
+            if not held or await self.keeper.write(concluded):
+                self.unwritten.discard(concluded)
         lost = [
             suspect
-            for suspect, hold in holds.items()
-            if hold.revision and hold.era != crashes.store_era
+            for suspect in self.entry.crashes.quarantined.holds
+            if self._is_lost(suspect)
         ]
         if lost:
             delay_s = self.entry.generator.uniform(0, RESTORE_DELAY_S)
             await curio.sleep(delay_s)
         for suspect in lost:
-            hold = holds.get(suspect)
-            if hold is not None and hold.era != crashes.store_era:
+            if self._is_lost(suspect):
                 await self.keeper.write(suspect)
+        return not self.unwritten and not any(map(self._is_lost, lost))
+
+    def _is_held(self, suspect: str) -> bool:
+        return suspect in self.entry.crashes.quarantined.holds
 
-    async def _end_answered(self) -> None:
-        """End the quarantines whose trials were answered."""
+    def _is_lost(self, suspect: str) -> bool:
+        """Return whether the store had a quarantine's key and came back without.
+
+        It may have the key, if it was written shortly before the copy.
+        """
         crashes = self.entry.crashes
-        for suspect in list(crashes.answered_trials):
+        hold = crashes.quarantined.holds.get(suspect)
+        if hold is None or not hold.revision:
+            return False
+        return hold.era != crashes.store_era
+
+    async def _end_answered(self) -> bool:
+        """End the quarantines whose trials were answered.
+
+        :returns: Whether all have ended.
+        """
+        answered = self.entry.crashes.answered_trials
+        for suspect in list(answered):
             if await self.keeper.remove(suspect):
-                crashes.answered_trials.discard(suspect)
-        if crashes.answered_trials:
-            await curio.sleep(RETRY_INTERVAL_S)
-            await crashes.news.set()
+                answered.discard(suspect)
+        return not answered
 
     async def _conclude(self) -> None:
         """Quarantine what was found to crash endpoints."""
@@ -121,21 +155,21 @@
             history, self.entry.crashes.answered.count
         )
         for culprit in found:
-            await self._quarantine(culprit)
+            self._quarantine(culprit)
         if found:
             await self.dispatcher.serve_queues()
 
-    async def _quarantine(self, culprit: crash_culprits.Culprit) -> None:
-        """Quarantine a suspect; tell the store if this entry reported it."""
-        known = self.entry.crashes.quarantined
-        hold = known.holds.get(culprit.part)
+    def _quarantine(self, culprit: crash_culprits.Culprit) -> None:
+        """Quarantine a suspect; have it written if this entry reported it."""
+        crashes = self.entry.crashes
+        hold = crashes.quarantined.holds.get(culprit.part)
         trials = hold.trials if hold else 0
         delay_s = quarantine.trial_delay_s(trials, sole=culprit.sole)
         now_s = clocks.monotonic_s()
         news_s = now_s + delay_s - quarantining.MIN_EXTENSION_S
         if hold and hold.trial_s > news_s:
             return
-        known.add(culprit.part, delay_s, now_s)
+        crashes.quarantined.add(culprit.part, delay_s, now_s)
         _LOG.warning(
             '%s quarantined',
             quarantining.kind(culprit.part),
@@ -144,13 +178,13 @@
                 'delay_s': delay_s,
                 'sole': culprit.sole,
                 'trials': trials,
-                'crashes': len(self.entry.crashes.history.crashes),
+                'crashes': len(crashes.history.crashes),
             },
         )
         if crash_reports.is_reporter(
-            self.entry.crashes.history, self.entry.settings.name, culprit.part
+            crashes.history, self.entry.settings.name, culprit.part
         ):
-            await self.keeper.write(culprit.part)
+            self.unwritten.add(culprit.part)
 
     async def _write(self, key: str, content: object, ttl_s: float) -> bool:
         """Write a key that the store keeps for some time.
@@ -188,16 +222,19 @@
     reporter: str,
     content: bytes | None,
 ) -> None:
-    """Apply the reports that another entry has written.
+    """Apply the reports that an entry has written.
 
-    Reports that are gone from the store count until they expire.
+    Reports that are gone from the store count until they expire. An entry's
+    own reports come from its earlier process, or say less than it knows.
 
-    :param reporter: Name of that entry.
+    :param reporter: Name of the entry that has written them.
     :param content: The value of its key; None if the key was removed.
     :raises fields.FormatError: if the value can't be decoded.
     """
-    if content is None or reporter == entry.settings.name:
+    if content is None:
         return
+    history = entry.crashes.history
+    is_own = reporter == entry.settings.name
     try:
         reports = msgspec.json.decode(
             content, type=tuple[crash_reports.CrashReport, ...]
@@ -205,6 +242,8 @@
     except msgspec.DecodeError as error:
         raise fields.FormatError(f'invalid reports: {error}') from error
     for report in reports:
+        if is_own and crash_reports.has_report(history, reporter, report.crash):
+            continue
         crash_reports.add_report(
-            entry.crashes.history, reporter, report, clocks.monotonic_s()
+            history, reporter, report, clocks.monotonic_s()
         )
