--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -24,6 +24,8 @@
 ENGINE_LIMIT_S = 0.4
 # Time for which an agent that did not answer is bypassed.
 AGENT_BYPASS_S = 2.0
+# Length of an unexpected answer in the log.
+_MAX_LOGGED_BYTES = 200
 
 _LOG = logging.getLogger(__name__)
 
@@ -220,7 +222,16 @@
         internal_messages.encode(relayed_order),
     )
     answer = await fetch(entry.internal_address, request, AGENT_LIMIT_S)
-    if answer is None or answer.status != http.HTTPStatus.OK:
+    if answer is None:
+        return 0
+    if answer.status != http.HTTPStatus.OK:
+        _LOG.warning(
+            'entry %s does not relay the order to %s: status %s, %s',
+            entry.name,
+            engine,
+            answer.status,
+            answer.body[:_MAX_LOGGED_BYTES],
+        )
         return 0
     try:
         outcome = internal_messages.decode(
