--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -111,20 +111,21 @@
         registration: roster.Registration,
         epoch: int,
     ) -> int:
-        """Send an order to hold the group through an entry, if one is known.
+        """Send an order to hold the group through an entry, if one relays it.
 
         :returns: The status of the response; 0 if there is none, in which case
             the rank may still have carried out the order.
         """
         rank_order = internal_messages.RankOrder(order, epoch)
         entries = list(self.agent.members.values())
+        status = None
         if entries:
             status = await _order_through_entry(
                 self.generator.choice(entries),
                 registration.address,
                 rank_order,
             )
-        else:
+        if status is None:
             status = await self._order_engine(rank_order, registration)
         self.record_order(order, status)
         return status
@@ -208,11 +209,12 @@
     entry: membership.Member,
     engine: str,
     message: internal_messages.RankOrder,
-) -> int:
+) -> int | None:
     """Send an order through an entry.
 
     :param engine: ``IP:port`` of the rank's engine.
-    :returns: The status of the engine's response; 0 if it is unknown.
+    :returns: The status of the engine's response; 0 if it is unknown; None if
+        the entry has not relayed the order.
     """
     relayed_order = internal_messages.RelayedOrder(engine, message)
     request = http_messages.Request(
@@ -232,7 +234,9 @@
             answer.status,
             answer.body[:_MAX_LOGGED_BYTES],
         )
-        return 0
+        # The entry has not sent what it refuses as the caller's fault.
+        is_refused = answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+        return None if is_refused else 0
     try:
         outcome = internal_messages.decode(
             answer.body, internal_messages.OrderOutcome
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -227,10 +227,12 @@
     :ivar requested_paths: Paths of the requests in order of arrival.
     :ivar entry: Address of the entry's internal socket.
     :ivar engine: Address of the engine.
+    :ivar knows_rank: Whether the entry knows the engine.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, knows_rank: bool = True) -> None:
         """Choose free ports."""
+        self.knows_rank = knows_rank
         self.requested_paths: list[str] = []
         self.entry = loopback.free_address()
         self.engine = loopback.free_address()
@@ -242,6 +244,9 @@
     ) -> None:
         """Record the path and report that the order succeeded."""
         self.requested_paths.append(request.path)
+        if request.path == internal_messages.RELAY_PATH and not self.knows_rank:
+            await responder.respond(internal_answers.unknown_call(request))
+            return
         outcome = internal_messages.OrderOutcome(200)
         await responder.respond(internal_answers.whole(outcome))
 
@@ -278,13 +283,14 @@
 
 
 async def _send_order(
-    kind: group_orders.OrderKind, *, entries: bool
+    kind: group_orders.OrderKind, *, entries: bool, knows_rank: bool = True
 ) -> list[str]:
     """Send an order to a rank and return the paths that were requested.
 
     :param entries: Whether the agent knows a running entry.
+    :param knows_rank: Whether that entry knows the rank.
     """
-    recorder = _RequestRecorder()
+    recorder = _RequestRecorder(knows_rank=knows_rank)
     calls = _rank_calls(recorder.entry if entries else None)
     registration = _registration(recorder.engine)
     order = group_orders.Order(0, kind, step=9)
@@ -321,6 +327,19 @@
     assert curio.run(sending) == [path]
 
 
+def test_a_hold_reaches_the_engine_though_the_entry_does_not_know_it() -> None:
+    sending = functools.partial(
+        _send_order,
+        group_orders.OrderKind.hold,
+        entries=True,
+        knows_rank=False,
+    )
+    assert curio.run(sending) == [
+        internal_messages.RELAY_PATH,
+        ENGINE_ORDER_PATH,
+    ]
+
+
 def _large_group(
     size: int,
 ) -> tuple[spread_calls.SpreadCalls, rank_calls.Ranks]:
