--- a/packages/agent/src/camphorstair_agent/fleet/state.py
+++ b/packages/agent/src/camphorstair_agent/fleet/state.py
@@ -46,11 +46,20 @@
     _selected: list[membership.Member] | None = None
 
     def own_registration(self) -> roster.Registration | None:
-        """Return the registration of the engine on this VM, or None."""
-        for registration in self.endpoints.values():
-            if registration.address == self.settings.engine_address:
-                return registration
-        return None
+        """Return the registration of the engine on this VM, or None.
+
+        After a restart of the engine, that of its earlier process may still be
+        listed.
+        """
+        return max(
+            (
+                registration
+                for registration in self.endpoints.values()
+                if registration.address == self.settings.engine_address
+            ),
+            key=_born_ms,
+            default=None,
+        )
 
     def selected_entries(self) -> list[membership.Member]:
         """Return the entries that use the engine on this VM.
@@ -66,13 +75,19 @@
         self._selected = None
 
     def group_members(self, group: str) -> dict[int, roster.Registration]:
-        """Return the registrations of a group's engines by rank."""
-        return {
-            registration.membership.rank: registration
-            for registration in self.endpoints.values()
-            if registration.membership is not None
-            and registration.membership.group == group
-        }
+        """Return the registrations of a group's engines by rank.
+
+        Of two engines with the same rank, the one that started last counts.
+        """
+        members: dict[int, roster.Registration] = {}
+        for registration in self.endpoints.values():
+            membership = registration.membership
+            if membership is not None and membership.group == group:
+                known = members.setdefault(membership.rank, registration)
+                members[membership.rank] = max(
+                    registration, known, key=_born_ms
+                )
+        return members
 
     def profile(self) -> catalogue.EngineProfile | None:
         """Return the profile of the engine on this VM, or None if unknown."""
@@ -92,3 +107,7 @@
             own.endpoint, [member.name for member in serving], peer_count
         )
         return [self.members[name] for name in names]
+
+
+def _born_ms(registration: roster.Registration) -> int:
+    return registration.born_ms
