Split attempts, dispatch and receiving: errors of attempts, checks of quarantines

Moved only: AttemptError to attempt_errors, the refusals and trials of what is quarantined to quarantine_checks, the identity of a request to calls.

--- a/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
+++ b/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorstair.fleet import attempts, calls, state
+from camphorstair.fleet import attempt_errors, attempts, calls, state
 from camphorstair_core import verdicts
 from camphorstair_core.fleet import ejection, roster
 from camphorstair_runtime import clocks
@@ -26,7 +26,7 @@
     def record_failed(
         self,
         attempt: attempts.Attempt,
-        failure: attempts.AttemptError,
+        failure: attempt_errors.AttemptError,
     ) -> None:
         """Record a failed attempt in the call, roster and endpoint's health.
 
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -7,12 +7,13 @@
 from camphorstair.fleet import (
     answer_progress,
     answer_reports,
+    attempt_errors,
     calls,
     connections,
     state,
     stream_relaying,
 )
-from camphorstair_core import errors, verdicts
+from camphorstair_core import verdicts
 from camphorstair_core.fleet import (
     crash_reports,
     endpoint_terms,
@@ -30,50 +31,6 @@
 MAX_MISMATCHED_ANSWERS = 4
 
 
-class AttemptError(Exception):
-    """An attempt that ended without a complete answer to the caller.
-
-    :ivar verdict: Whether the endpoint may have run the request.
-    :ivar answer: The endpoint's complete error response, relayed to the caller
-        if no further attempt is made; None if there is none.
-    :ivar sent: Whether anything was sent to the endpoint.
-    :ivar misdirected: Whether a different endpoint answered at the address.
-    :ivar withdrawn: Whether the entry has withdrawn the request before it was
-        sent, so that the endpoint is not at fault.
-    :ivar suspect: Whether the request may have crashed the engine.
-    """
-
-    def __init__(
-        self,
-        message: str,
-        verdict: verdicts.Verdict,
-        *,
-        answer: http_messages.Response | None = None,
-        sent: bool = True,
-        misdirected: bool = False,
-        withdrawn: bool = False,
-    ) -> None:
-        """Store the message and the outcome of the attempt."""
-        super().__init__(message)
-        self.verdict = verdict
-        self.answer = answer
-        self.sent = sent
-        self.misdirected = misdirected
-        self.withdrawn = withdrawn
-        self.suspect = False
-
-    def timed_out(self) -> bool:
-        """Return whether the endpoint stopped at the deadline it was sent.
-
-        Such an attempt does not count as a failure of the endpoint.
-        """
-        answer = self.answer
-        return (
-            answer is not None
-            and answer.status == http.HTTPStatus.GATEWAY_TIMEOUT
-        )
-
-
 @attrs.define(eq=False)
 class Attempt:
     """One attempt at a request, on one endpoint.
@@ -116,7 +73,7 @@
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
-        :raises AttemptError: if the caller did not receive a complete answer.
+        :raises attempt_errors.AttemptError: if the caller did not receive a complete answer.
         """
         registration = self.candidate.endpoint.registration
         exchange = await self._connect(registration.address)
@@ -128,7 +85,7 @@
             await self._relay_answer(exchange, answer)
             idle_s = answer.idle_timeout_s
         except http_client.HttpError as error:
-            raise AttemptError(
+            raise attempt_errors.AttemptError(
                 str(error), verdicts.Verdict.may_have_run
             ) from error
         finally:
@@ -149,7 +106,7 @@
         wants no requests, or the request may have been found to crash
         endpoints.
 
-        :raises AttemptError: if so.
+        :raises attempt_errors.AttemptError: if so.
         """
         now_s = clocks.monotonic_s()
         if endpoint_terms.wants_nothing(self.candidate.terms, now_s):
@@ -160,7 +117,7 @@
             reason = 'the request was quarantined'
         else:
             return
-        raise AttemptError(
+        raise attempt_errors.AttemptError(
             reason, verdicts.Verdict.not_run, sent=False, withdrawn=True
         )
 
@@ -170,7 +127,7 @@
         An idle connection is reused only for a repeatable request: the
         endpoint may close it just as the request is sent.
 
-        :raises AttemptError: if no connection can be opened.
+        :raises attempt_errors.AttemptError: if no connection can be opened.
         """
         if self.call.route.repeatable():
             now_s = clocks.monotonic_s()
@@ -180,7 +137,7 @@
         try:
             return await connections.connect(address)
         except http_client.HttpError as error:
-            raise AttemptError(
+            raise attempt_errors.AttemptError(
                 str(error), verdicts.Verdict.not_run, sent=False
             ) from error
 
@@ -238,7 +195,7 @@
     ) -> None:
         """Send the answer to the caller, as a stream or as a whole.
 
-        :raises AttemptError: if the endpoint answered with an error.
+        :raises attempt_errors.AttemptError: if the endpoint answered with an error.
         :raises http_client.HttpError: if the answer is incomplete, or lacks the
             seal header by which an endpoint marks its answers.
         """
@@ -261,13 +218,13 @@
         exchange: http_client.Exchange,
         answer: headers.AnswerHeaders,
     ) -> None:
-        """Raise the AttemptError for an error response of the endpoint."""
+        """Raise the attempt_errors.AttemptError for an error response of the endpoint."""
         verdict = verdicts.Verdict.not_run
         whole = None
         if not answer.not_run:
             verdict = verdicts.Verdict.ran
             whole = await _read_response(exchange)
-        raise AttemptError(
+        raise attempt_errors.AttemptError(
             f'status {answer.status}',
             verdict,
             answer=whole,
@@ -303,13 +260,3 @@
     body = await exchange.read_all()
     response_headers = headers.for_caller(exchange.headers)
     return http_messages.Response(exchange.status, response_headers, body)
-
-
-def incomplete_answer_error(message: str) -> errors.RequestError:
-    """Return the error for an answer that ended before it was complete.
-
-    Its verdict is that the request may have run.
-    """
-    return errors.RequestError(
-        errors.answer_broken, message, verdicts.Verdict.may_have_run
-    )
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -3,7 +3,12 @@
 import attrs
 
 from camphorstair_core import verdicts
-from camphorstair_core.fleet import catalogue, stream_progress, waiting
+from camphorstair_core.fleet import (
+    catalogue,
+    request_identity,
+    stream_progress,
+    waiting,
+)
 from camphorstair_platform import headers
 from camphorstair_runtime import http_messages, http_server
 
@@ -53,3 +58,20 @@
     def streaming(self) -> bool:
         """Return whether the answer is an event stream."""
         return self.route.kind is catalogue.RequestKind.streaming
+
+
+def identity_of(request: http_messages.Request, caller: str) -> str:
+    """Return what identifies a request when it comes again.
+
+    :param request: The request.
+    :param caller: Name of the organisation that sent it, or its key.
+    """
+    return request_identity.identity(
+        request_identity.RequestContent(
+            caller,
+            request.header('host').lower(),
+            request.method,
+            request.target,
+            request.body,
+        )
+    )
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -2,7 +2,12 @@
 
 import logging
 
-from camphorstair.fleet import attempts, crash_reporting, state
+from camphorstair.fleet import (
+    attempt_errors,
+    attempts,
+    crash_reporting,
+    state,
+)
 from camphorstair_core import verdicts
 from camphorstair_core.fleet import crash_reports
 
@@ -12,7 +17,7 @@
 async def check(
     entry: state.FleetEntry,
     attempt: attempts.Attempt,
-    failure: attempts.AttemptError,
+    failure: attempt_errors.AttemptError,
 ) -> bool:
     """Find out whether a failed attempt may have crashed its endpoint.
 
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -6,14 +6,12 @@
 import attrs
 import curio
 
-from camphorstair.fleet import endpoint_choice, quarantining, state
+from camphorstair.fleet import endpoint_choice, quarantine_checks, state
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
     endpoint_terms,
     placement,
-    quarantine,
     roster,
-    suspect_kinds,
     waiting,
 )
 from camphorstair_runtime import clocks
@@ -61,13 +59,13 @@
     """Assigns endpoints to the requests of one entry.
 
     :ivar entry: The entry's state.
-    :ivar keeper: Claims trials of what is quarantined.
+    :ivar quarantines: Refuses requests that crash endpoints.
     :ivar choice: Decides which endpoints may be used.
     :ivar pending_requests: The queued requests by their entry in the queue.
     """
 
     entry: state.FleetEntry
-    keeper: quarantining.QuarantineKeeper
+    quarantines: quarantine_checks.QuarantineCheck
     choice: endpoint_choice.EndpointChoice = attrs.field(init=False)
     pending_requests: dict[waiting.Waiter, PendingRequest] = attrs.field(
         factory=dict
@@ -90,8 +88,9 @@
             queue is full, or no endpoint is free in time, or if the request
             crashes endpoints.
         """
-        await self._claim_trials(service, waiter)
-        self._check_quarantine(waiter)
+        if self.choice.usable(service):
+            await self.quarantines.claim_trials(waiter)
+        self.quarantines.check(waiter)
         usable = self.choice.usable(service)
         self._check_service(service, waiter, usable)
         pending = PendingRequest(waiter)
@@ -106,7 +105,7 @@
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
         if pending.granted is None:
-            self._check_quarantine(waiter)
+            self.quarantines.check(waiter)
             self._check_terms(waiter, self.choice.usable(service), 0)
             raise self.refusal(
                 service, errors.overloaded, 'no endpoint was free in time'
@@ -197,34 +196,6 @@
             if not free:
                 return
 
-    async def _claim_trials(self, service: str, waiter: waiting.Waiter) -> None:
-        """Make a request the trial of what is quarantined in it, if it may.
-
-        Nothing is claimed while something in it must wait longer, or while no
-        endpoint can be used.
-        """
-        known = self.entry.crashes.quarantined
-        found = known.find(waiter.untried(), clocks.monotonic_s())
-        if found is None or found.remaining_s > 0:
-            return
-        if not self.choice.usable(service):
-            return
-        for suspect in waiter.untried():
-            if await self.keeper.claim_trial(suspect, waiter.request):
-                waiter.trials.add(suspect)
-
-    def _check_quarantine(self, waiter: waiting.Waiter) -> None:
-        """Refuse a request that crashes endpoints.
-
-        :raises errors.RequestError: if it or a part of its prompt is
-            quarantined.
-        """
-        found = self.entry.crashes.quarantined.find(
-            waiter.untried(), clocks.monotonic_s()
-        )
-        if found is not None:
-            raise _quarantine_error(found)
-
     def _check_service(
         self,
         service: str,
@@ -286,23 +257,6 @@
             )
 
 
-def _quarantine_error(
-    found: quarantine.QuarantinedPart,
-) -> errors.RequestError:
-    retry_after_s = max(found.remaining_s, REOPEN_RETRY_AFTER_S)
-    if suspect_kinds.is_request(found.part):
-        return errors.RequestError(
-            errors.request_quarantined,
-            f'endpoints crash under this request, {found.part}',
-            retry_after_s=retry_after_s,
-        )
-    return errors.RequestError(
-        errors.prompt_quarantined,
-        f'engines crash on part {found.part} of the prompt',
-        retry_after_s=retry_after_s,
-    )
-
-
 def _first_turn_s(
     candidates: list[placement.Candidate],
     now_s: float,
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -6,6 +6,7 @@
 import curio
 
 from camphorstair.fleet import (
+    attempt_errors,
     attempt_outcomes,
     attempts,
     calls,
@@ -72,7 +73,7 @@
         if failure is not None:
             await self._give_up(failure)
 
-    async def _acquire_and_attempt(self) -> attempts.AttemptError | None:
+    async def _acquire_and_attempt(self) -> attempt_errors.AttemptError | None:
         """Wait for an endpoint and make one attempt.
 
         :returns: Why the attempt failed, or None if it succeeded.
@@ -91,7 +92,7 @@
     async def _attempt(
         self,
         candidate: placement.Candidate,
-    ) -> attempts.AttemptError | None:
+    ) -> attempt_errors.AttemptError | None:
         """Make an attempt and record its outcome.
 
         :returns: Why it failed, or None if it succeeded.
@@ -103,7 +104,7 @@
         except curio.CancelledError:
             self.outcomes.record_unanswered(attempt)
             raise
-        except attempts.AttemptError as failure:
+        except attempt_errors.AttemptError as failure:
             self.outcomes.record_failed(attempt, failure)
             await crash_suspects.note_answered(self.entry, attempt)
             crashed = await crash_suspects.check(self.entry, attempt, failure)
@@ -160,7 +161,7 @@
         attempt.abort()
         return True
 
-    def _may_retry(self, failure: attempts.AttemptError) -> bool:
+    def _may_retry(self, failure: attempt_errors.AttemptError) -> bool:
         """Return whether another attempt is made after a failure.
 
         Spends a retry of the budget, unless the attempt was moved or had sent
@@ -205,7 +206,7 @@
         self.entry.meters.retries.add(1, {'taken': taken})
         return taken
 
-    async def _give_up(self, failure: attempts.AttemptError) -> None:
+    async def _give_up(self, failure: attempt_errors.AttemptError) -> None:
         """Relay the endpoint's error response or raise an error.
 
         :raises errors.RequestError: if the endpoint sent no complete error
@@ -219,4 +220,4 @@
             raise self.dispatcher.refusal(
                 call.service, errors.overloaded, str(failure)
             )
-        raise attempts.incomplete_answer_error(str(failure))
+        raise attempt_errors.incomplete_answer_error(str(failure))
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -10,7 +10,6 @@
 from camphorstair_core.fleet import (
     catalogue,
     content_age,
-    request_identity,
     stream_progress,
     waiting,
 )
@@ -112,7 +111,9 @@
         caller_limit_s = caller_headers.limit_s or DEFAULT_LIMIT_S
         limit_s = min(route.timeout_s, caller_limit_s)
         waiter = _waiter(route, organisation, now_s)
-        identity = _identity(request, waiter.organisation or caller_headers.key)
+        identity = calls.identity_of(
+            request, waiter.organisation or caller_headers.key
+        )
         waiter.request = caller_headers.attempt
         waiter.suspects = (identity, *caller_headers.prompt_parts)
         waiting.set_deadlines(
@@ -269,19 +270,6 @@
     return waiting.Waiter(name, priority, now_s)
 
 
-def _identity(request: http_messages.Request, caller: str) -> str:
-    """Return what identifies a request when it comes again."""
-    return request_identity.identity(
-        request_identity.RequestContent(
-            caller,
-            request.header('host').lower(),
-            request.method,
-            request.target,
-            request.body,
-        )
-    )
-
-
 async def _run_to_outcome(
     request_forwarding: forwarding.Forwarding,
 ) -> Exception | None:
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -20,6 +20,7 @@
     internal_serving,
     joining,
     moving,
+    quarantine_checks,
     quarantining,
     receiving,
     relaying,
@@ -86,7 +87,9 @@
     keeper = quarantining.QuarantineKeeper(
         entry, store.StoreClient(told.store.address)
     )
-    dispatcher = dispatch.Dispatcher(entry, keeper)
+    dispatcher = dispatch.Dispatcher(
+        entry, quarantine_checks.QuarantineCheck(entry, keeper)
+    )
     receiver = receiving.Receiver(entry, dispatcher)
     return Process(
         entry,
