--- a/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
+++ b/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
@@ -89,7 +89,7 @@
         return found is None or found.remaining_s <= 0
 
     def note_begun(self, group: str) -> None:
-        """Note that a switch has begun; it is a trial of what is quarantined."""
+        """Note that a switch has begun, a trial of what is quarantined."""
         now_s = clocks.monotonic_s()
         for suspect in _suspects(group):
             hold = self.quarantined.holds.get(suspect)
--- a/packages/core/src/camphorstair_core/fleet/crash_incidents.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_incidents.py
@@ -44,7 +44,7 @@
 def counted_suspects(
     history: crash_reports.CrashHistory, incident: Incident
 ) -> set[str]:
-    """Return the suspects of an incident, not cleared and not released since."""
+    """Return an incident's suspects, not cleared and not released since."""
     return {
         part
         for part in incident.suspects - incident.cleared
--- a/packages/core/src/camphorstair_core/fleet/quarantine.py
+++ b/packages/core/src/camphorstair_core/fleet/quarantine.py
@@ -1,8 +1,8 @@
-"""What no endpoint is sent, as endpoints crash under it: prompt parts, requests.
+"""The requests and prompt parts that are not sent, as endpoints crash on them.
 
 A conclusion may be wrong, so after a while one request in the whole fleet is
-sent as a trial. If it is answered, the quarantine ends. Each further trial waits
-longer.
+sent as a trial. If it is answered, the quarantine ends. Each further trial
+waits longer.
 """
 
 from collections import abc
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -73,7 +73,8 @@
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
-        :raises attempt_errors.AttemptError: if the caller did not receive a complete answer.
+        :raises attempt_errors.AttemptError: if the caller did not receive a
+            complete answer.
         """
         registration = self.candidate.endpoint.registration
         exchange = await self._connect(registration.address)
@@ -195,7 +196,8 @@
     ) -> None:
         """Send the answer to the caller, as a stream or as a whole.
 
-        :raises attempt_errors.AttemptError: if the endpoint answered with an error.
+        :raises attempt_errors.AttemptError: if the endpoint answered with an
+            error.
         :raises http_client.HttpError: if the answer is incomplete, or lacks the
             seal header by which an endpoint marks its answers.
         """
@@ -218,7 +220,7 @@
         exchange: http_client.Exchange,
         answer: headers.AnswerHeaders,
     ) -> None:
-        """Raise the attempt_errors.AttemptError for an error response of the endpoint."""
+        """Raise the error for an error response of the endpoint."""
         verdict = verdicts.Verdict.not_run
         whole = None
         if not answer.not_run:
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -128,7 +128,7 @@
         return suspect in self.entry.crashes.quarantined.holds
 
     def _is_lost(self, suspect: str) -> bool:
-        """Return whether the store had a quarantine's key and came back without.
+        """Return whether the store came back without a quarantine's key.
 
         It may have the key, if it was written shortly before the copy.
         """
