Number a planner's datagrams from a random number on

The numbers began at 1 in each process. A planner that restarts and gets the same port as before would be told the remembered reply to its first calls, an order not carried out among them. Seen only by reading; the port is drawn by the kernel.

Test: two callers start with different numbers; failed before.

--- a/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import os
 import socket
 
 import attrs
@@ -20,6 +21,7 @@
 # 0.1 s, but most reply within milliseconds.
 REPLY_LIMIT_S = 0.06
 SENDS = 3
+_RANDOM_BYTES = 4
 
 _LOG = logging.getLogger(__name__)
 
@@ -54,17 +56,23 @@
     complete: curio.Event = attrs.field(factory=curio.Event)
 
 
+def _random_number() -> int:
+    return int.from_bytes(os.urandom(_RANDOM_BYTES))
+
+
 @attrs.define(eq=False)
 class DatagramCaller:
     """Sends calls and receives the replies.
 
     :ivar host: IP address to send from.
-    :ivar count: Number of calls so far.
+    :ivar last_number: Number of the call made last. The first one is random:
+        an agent that remembers its replies takes a call with the same sender
+        and number for the same call, also after the sender has restarted.
     :ivar batches: The batch of each call that awaits its reply, by number.
     """
 
     host: str
-    count: int = 0
+    last_number: int = attrs.field(factory=_random_number)
     batches: dict[int, _Batch] = attrs.field(factory=dict)
     _sock: curio.io.Socket | None = None
 
@@ -88,8 +96,8 @@
         :param calls: The calls.
         :param epoch: Number of the group's formation for the orders.
         """
-        first = self.count + 1
-        self.count += len(calls)
+        first = self.last_number + 1
+        self.last_number += len(calls)
         numbered = dict(enumerate(calls, first))
         batch = _Batch({number: call.rank for number, call in numbered.items()})
         if not calls:
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -105,6 +105,14 @@
     curio.run(_with_agent, body)
 
 
+def test_a_planner_that_has_restarted_gets_no_remembered_reply() -> None:
+    """The restarted process may send from the same port as before."""
+    callers = [
+        rank_datagrams.DatagramCaller(loopback.HOST) for _restart in range(2)
+    ]
+    assert callers[0].last_number != callers[1].last_number
+
+
 def test_hung_order_is_reported_before_planner_timeout() -> None:
     async def body(agent: str) -> None:
         reply = (await _call(agent, ORDER.order))[0]
