--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -22,11 +22,16 @@
     :ivar name: Identifier of the endpoint.
     :ivar seen: Records the requests that were executed.
     :ivar elapsed_s: Returns the time since the start of the run.
+    :ivar leaving: Whether its answers say that it leaves.
+    :ivar refusing_until_s: Until this time from the start of the run it
+        refuses requests and asks for rest.
     """
 
     name: str
     seen: recording.Recording
     elapsed_s: abc.Callable[[], float] = time.monotonic
+    leaving: bool = False
+    refusing_until_s: float = 0
 
     async def handle(
         self,
@@ -46,9 +51,15 @@
             answer = http_messages.Response(status, headers[:1], b'')
             await responder.respond(answer)
             return
-        self.seen.runs.append(
-            recording.Run(attempt, self.name, self.elapsed_s())
-        )
+        arrival = recording.Arrival(attempt, self.name, self.elapsed_s())
+        if arrival.at_s < self.refusing_until_s:
+            self.seen.refusals.append(arrival)
+            await responder.respond(_refusal(headers))
+            return
+        self.seen.runs.append(arrival)
+        if self.leaving:
+            self.seen.leaving_reports.append(arrival)
+            headers.append(exchange_headers.LEAVING)
         if not request.path.startswith('/draft/'):
             await curio.sleep(WORK_S)
             await responder.respond(
@@ -63,3 +74,16 @@
             await responder.send(event)
             await curio.sleep(EVENT_GAP_S)
         await responder.finish()
+
+
+def _refusal(headers: http_messages.HeaderList) -> http_messages.Response:
+    """Return an answer that asks for rest.
+
+    :param headers: The headers of an endpoint's own answer.
+    """
+    rest = ('retry-after', str(recording.RETRY_AFTER_S))
+    return http_messages.Response(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        [*headers, exchange_headers.NOT_RUN, rest],
+        b'',
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,25 +1,15 @@
 """Injects the scheduled faults from outside the processes."""
 
 import signal
-import types
 
 import attrs
 import curio
 
 from camphorstair_platform_standins import documents
-from soak import fleet, proxy, recording, schedule
+from soak import endpoint_faults, fleet, proxy, recording, schedule
 
 STOP_LIMIT_S = documents.GRACE_S + 2
 
-_ENDPOINT_MODES = types.MappingProxyType(
-    {
-        schedule.Kind.endpoint_silent: proxy.Mode.silent,
-        schedule.Kind.endpoint_one_way: proxy.Mode.one_way,
-        schedule.Kind.endpoint_resets: proxy.Mode.resets,
-        schedule.Kind.endpoint_delayed: proxy.Mode.delayed,
-    },
-)
-
 
 @attrs.define(eq=False)
 class FaultInjector:
@@ -37,13 +27,19 @@
                 await group.spawn(self._inject_at_start, fault)
 
     async def _inject_at_start(self, fault: schedule.Fault) -> None:
-        await curio.sleep(max(0, fault.at_s - self.running.elapsed_s()))
-        if fault.kind not in schedule.PLANNED:
-            end_s = fault.end_s + recording.FAULT_EFFECT_S
-            period = recording.FaultPeriod(fault.at_s, end_s)
-            self.running.seen.unplanned_fault_periods.append(period)
+        await self.running.sleep_until(fault.at_s)
+        if fault.kind not in schedule.PLANNED | schedule.REPORTS:
+            self._record_period(fault)
         await self._inject(fault)
 
+    def _record_period(self, fault: schedule.Fault) -> None:
+        seen = self.running.seen
+        end_s = fault.end_s + recording.FAULT_EFFECT_S
+        period = recording.FaultPeriod(fault.at_s, end_s)
+        seen.unplanned_fault_periods.append(period)
+        if fault.kind in endpoint_faults.PROXY_MODES:
+            seen.lost_answer_periods.append(period)
+
     async def _inject(self, fault: schedule.Fault) -> None:
         kind = schedule.Kind
         handlers = {
@@ -51,14 +47,17 @@
             kind.kill: self._kill,
             kind.reload: self._reload,
             kind.terminate: self._terminate,
-            kind.endpoint_drains: self._drain,
             kind.configure: self._configure,
             kind.revoke: self._configure,
             kind.store_silent: self._silence_store,
             kind.store_refuses: self._fail_store_calls,
             kind.store_loses_answers: self._fail_store_calls,
         }
-        await handlers.get(fault.kind, self._degrade_endpoint)(fault)
+        handler = handlers.get(fault.kind)
+        if handler is None:
+            await endpoint_faults.inject(self.running, fault)
+        else:
+            await handler(fault)
 
     async def _reload(self, fault: schedule.Fault) -> None:
         await self.running.entry_at(fault.target).reload()
@@ -66,8 +65,9 @@
     async def _pause(self, fault: schedule.Fault) -> None:
         entry = self.running.entry_at(fault.target)
         entry.send_signal(signal.SIGSTOP)
-        await self._wait(fault)
+        await self.running.sleep_until(fault.end_s)
         entry.send_signal(signal.SIGCONT)
+        self._record_interruption(entry)
 
     async def _kill(self, fault: schedule.Fault) -> None:
         entry = self.running.entry_at(fault.target)
@@ -113,18 +113,18 @@
         await curio.sleep(fleet.RESTART_S)
         if entry.stopping:
             entry.start()
+            self._record_interruption(entry)
 
-    async def _degrade_endpoint(self, fault: schedule.Fault) -> None:
-        name = self.running.endpoint_at(fault.target)
-        endpoint_proxy = self.running.endpoint_proxies[name]
-        endpoint_proxy.mode = _ENDPOINT_MODES[fault.kind]
-        await self._wait(fault)
-        endpoint_proxy.mode = proxy.Mode.whole
+    def _record_interruption(self, entry: fleet.Entry) -> None:
+        running = self.running
+        running.seen.record_interruption(
+            running.entries.index(entry), running.elapsed_s()
+        )
 
     async def _silence_store(self, fault: schedule.Fault) -> None:
         store_proxy = self.running.entry_at(fault.target).store
         store_proxy.mode = proxy.Mode.silent
-        await self._wait(fault)
+        await self.running.sleep_until(fault.end_s)
         store_proxy.mode = proxy.Mode.whole
 
     async def _fail_store_calls(self, fault: schedule.Fault) -> None:
@@ -132,23 +132,10 @@
         refuses = fault.kind is schedule.Kind.store_refuses
         faults.refuses = refuses
         faults.loses_answers = not refuses
-        await self._wait(fault)
+        await self.running.sleep_until(fault.end_s)
         faults.refuses = False
         faults.loses_answers = False
 
-    async def _drain(self, fault: schedule.Fault) -> None:
-        """Replace an endpoint: add a new one, then drain and remove the old."""
-        running = self.running
-        name = self.running.endpoint_at(fault.target)
-        if name in running.seen.drained_s:
-            return
-        await running.add_endpoint()
-        running.seen.drained_s[name] = running.elapsed_s()
-        running.register(name, 'draining')
-        await curio.sleep(2 * recording.DRAIN_S)
-        running.store.remove(documents.registration_key(name))
-        running.endpoint_proxies.pop(name)
-
     async def _configure(self, fault: schedule.Fault) -> None:
         running = self.running
         if fault.kind is schedule.Kind.revoke and len(running.keys) > 2:
@@ -156,6 +143,3 @@
             running.keys.remove(key)
             running.seen.revoked_s[key] = running.elapsed_s()
         running.configure()
-
-    async def _wait(self, fault: schedule.Fault) -> None:
-        await curio.sleep(max(0, fault.end_s - self.running.elapsed_s()))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,7 +19,8 @@
     settings,
 )
 from camphorstair_standins import loopback
-from soak import endpoints, proxy, recording
+from soak import endpoints as fake_endpoints
+from soak import proxy, recording
 
 SERVICE = 'plain'
 SLOTS = 8
@@ -121,6 +122,8 @@
     :ivar store: The fake store.
     :ivar store_address: ``IP:port`` of the store.
     :ivar entries: The entries, by their number.
+    :ivar endpoints: All endpoints so far, by name.
+    :ivar replaced: Names of the endpoints that were replaced.
     :ivar endpoint_proxies: Proxies to the endpoints in service, by
         endpoint name.
     :ivar version: Version of the configuration written last.
@@ -136,6 +139,8 @@
     )
     store_address: str = attrs.field(factory=loopback.free_address)
     entries: list[Entry] = attrs.field(factory=list)
+    endpoints: dict[str, fake_endpoints.Endpoint] = attrs.field(factory=dict)
+    replaced: set[str] = attrs.field(factory=set)
     endpoint_proxies: dict[str, proxy.Proxy] = attrs.field(factory=dict)
     version: int = 0
     keys: set[str] = attrs.field(factory=set)
@@ -145,6 +150,10 @@
         """Return the time since the start of the run."""
         return time.monotonic() - self.began_s
 
+    async def sleep_until(self, at_s: float) -> None:
+        """Sleep until a time from the start of the run."""
+        await curio.sleep(max(0, at_s - self.elapsed_s()))
+
     def entry_at(self, target: int) -> Entry:
         """Return the entry that a fault affects.
 
@@ -210,7 +219,8 @@
         self._endpoint_count += 1
         name = f'i-{self._endpoint_count}'
         server = loopback.free_address()
-        endpoint = endpoints.Endpoint(name, self.seen, self.elapsed_s)
+        endpoint = fake_endpoints.Endpoint(name, self.seen, self.elapsed_s)
+        self.endpoints[name] = endpoint
         await self._listen(server, endpoint.handle)
         server_proxy = proxy.Proxy(loopback.free_address(), server)
         await self.group.spawn(server_proxy.run)
--- a/soak/recording.py
+++ b/soak/recording.py
@@ -15,6 +15,8 @@
 EVENTS = 12
 REVOKE_S = documents.REVOKE_S
 DRAIN_S = 2.0
+# Rest that an endpoint asks for with a refusal.
+RETRY_AFTER_S = 2
 # A fault may still have an effect for this time after its end.
 FAULT_EFFECT_S = 3.0
 # A response with one of these status codes promises that the request did not
@@ -30,12 +32,12 @@
 
 
 @attrs.frozen
-class Run:
-    """The start of an execution at an endpoint.
+class Arrival:
+    """A request that reached an endpoint, where it ran or was refused.
 
     :ivar attempt: Attempt identifier of the request.
     :ivar endpoint: Name of the endpoint.
-    :ivar at_s: Time of the start, from the start of the run.
+    :ivar at_s: Time of its arrival, from the start of the run.
     """
 
     attempt: str
@@ -87,19 +89,29 @@
 class Recording:
     """Everything recorded in a run. Times are from the start of the run.
 
-    :ivar runs: Executions at endpoints.
+    :ivar runs: Requests that endpoints executed.
+    :ivar refusals: Requests that endpoints refused, asking for rest.
+    :ivar leaving_reports: Requests whose answer said that the endpoint leaves.
     :ivar calls: Requests of callers.
     :ivar revoked_s: Time at which each key was revoked.
     :ivar drained_s: Time at which each endpoint was registered as draining.
     :ivar unplanned_fault_periods: Periods affected by unplanned faults.
+    :ivar lost_answer_periods: Periods in which entries may not get the answers
+        of endpoints.
+    :ivar interruptions_s: Times at which each entry was started again, or
+        resumed after a freeze.
     :ivar faults: Descriptions of broken promises detected during the run.
     """
 
-    runs: list[Run] = attrs.field(factory=list)
+    runs: list[Arrival] = attrs.field(factory=list)
+    refusals: list[Arrival] = attrs.field(factory=list)
+    leaving_reports: list[Arrival] = attrs.field(factory=list)
     calls: list[Call] = attrs.field(factory=list)
     revoked_s: dict[str, float] = attrs.field(factory=dict)
     drained_s: dict[str, float] = attrs.field(factory=dict)
     unplanned_fault_periods: list[FaultPeriod] = attrs.field(factory=list)
+    lost_answer_periods: list[FaultPeriod] = attrs.field(factory=list)
+    interruptions_s: dict[int, list[float]] = attrs.field(factory=dict)
     faults: list[str] = attrs.field(factory=list)
 
     def broken(self) -> list[str]:
@@ -113,6 +125,23 @@
             *self._runs_after_draining(),
         ]
 
+    def record_interruption(self, entry: int, at_s: float) -> None:
+        """Record that an entry was started again, or resumed."""
+        self.interruptions_s.setdefault(entry, []).append(at_s)
+
+    def may_not_know(self, entry: int, begin_s: float, end_s: float) -> bool:
+        """Return whether an entry may not know at a time what it was told.
+
+        :param entry: Number of the entry.
+        :param begin_s: When an endpoint told it something.
+        :param end_s: The later time.
+        """
+        interruptions_s = self.interruptions_s.get(entry, [])
+        return any(begin_s <= at_s <= end_s for at_s in interruptions_s) or any(
+            period.overlaps(begin_s, begin_s)
+            for period in self.lost_answer_periods
+        )
+
     def cut_off(self, entry: int, stopped_s: float) -> list[str]:
         """Describe the requests that a planned stop of an entry cut off.
 
@@ -132,7 +161,7 @@
             )
         ]
 
-    def _runs_of(self, attempt: str) -> list[Run]:
+    def _runs_of(self, attempt: str) -> list[Arrival]:
         return [run for run in self.runs if run.attempt == attempt]
 
     def _duplicate_bookings(self) -> list[str]:
--- a/soak/running.py
+++ b/soak/running.py
@@ -8,7 +8,14 @@
 import attrs
 import curio
 
-from soak import callers, faults, fleet, recording, schedule
+from soak import (
+    callers,
+    faults,
+    fleet,
+    recording,
+    report_checks,
+    schedule,
+)
 
 ENTRIES = 3
 CALLERS = 9
@@ -60,9 +67,8 @@
             running.end()
         await group.cancel_remaining()
     whole = sum(call.status == http.HTTPStatus.OK for call in seen.calls)
-    return Outcome(
-        seed, tuple(seen.broken()), len(scheduled), len(seen.calls), whole
-    )
+    broken = (*seen.broken(), *report_checks.broken(seen))
+    return Outcome(seed, broken, len(scheduled), len(seen.calls), whole)
 
 
 async def _run_faults(
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,6 +1,7 @@
 """Draws a random schedule of faults from a seed."""
 
 import enum
+import operator
 import random
 
 import attrs
@@ -12,6 +13,8 @@
 # that planned work must not disturb can be checked best while no other fault
 # is in effect.
 PLANNED_SEED_INTERVAL = 3
+# Mean gap between the moments at which endpoints begin to report something.
+MEAN_REPORT_GAP_S = 4.0
 # Time without new faults at the end of a run; everything must work again in it.
 QUIET_END_S = 8.0
 
@@ -19,9 +22,9 @@
 class Kind(enum.StrEnum):
     """Kind of a fault.
 
-    Faults are drawn from all members in this order, or from the planned ones
-    sorted by value. A change of the order or of a value therefore changes what
-    a seed draws.
+    Faults are drawn from all members but ``REPORTS`` in this order, or from the
+    planned ones sorted by value. A change of the order or of a value therefore
+    changes what a seed draws.
     """
 
     pause = 'pause'
@@ -38,8 +41,14 @@
     endpoint_drains = 'endpoint_drains'
     configure = 'configure'
     revoke = 'revoke'
+    endpoint_leaves = 'endpoint_leaves'
+    endpoint_refuses = 'endpoint_refuses'
 
 
+# What endpoints say in their answers. It is drawn apart from the other kinds
+# and added in every run, since it must disturb no request.
+REPORTS = frozenset((Kind.endpoint_leaves, Kind.endpoint_refuses))
+
 PLANNED = frozenset(
     (
         Kind.terminate,
@@ -78,11 +87,36 @@
     :param duration_s: Duration of the run.
     :param targets: Number of entries, and of endpoints.
     """
-    generator = random.Random(seed)
-    kinds = sorted(PLANNED) if seed % PLANNED_SEED_INTERVAL == 0 else list(Kind)
+    end_s = duration_s - QUIET_END_S
+    faults = _draw(
+        random.Random(seed), _kinds(seed), MEAN_GAP_S, end_s, targets
+    )
+    reports = _draw(
+        random.Random(f'{seed} reports'),
+        sorted(REPORTS),
+        MEAN_REPORT_GAP_S,
+        end_s,
+        targets,
+    )
+    return sorted([*faults, *reports], key=operator.attrgetter('at_s'))
+
+
+def _kinds(seed: int) -> list[Kind]:
+    if seed % PLANNED_SEED_INTERVAL == 0:
+        return sorted(PLANNED)
+    return [kind for kind in Kind if kind not in REPORTS]
+
+
+def _draw(
+    generator: random.Random,
+    kinds: list[Kind],
+    mean_gap_s: float,
+    end_s: float,
+    targets: int,
+) -> list[Fault]:
     faults = []
-    at_s = 1 + generator.expovariate(1 / MEAN_GAP_S)
-    while at_s < duration_s - QUIET_END_S:
+    at_s = 1 + generator.expovariate(1 / mean_gap_s)
+    while at_s < end_s:
         faults.append(
             Fault(
                 generator.choice(kinds),
@@ -91,5 +125,5 @@
                 generator.randrange(targets),
             ),
         )
-        at_s += generator.expovariate(1 / MEAN_GAP_S)
+        at_s += generator.expovariate(1 / mean_gap_s)
     return faults
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,14 @@
 import curio
 import pytest
 
-from soak import faults, fleet, recording, running, schedule
+from soak import (
+    faults,
+    fleet,
+    recording,
+    report_checks,
+    running,
+    schedule,
+)
 
 SEED = 1
 DURATION_S = 16.0
@@ -62,7 +69,7 @@
 
 def _recorded(
     call: recording.Call,
-    *runs: recording.Run,
+    *runs: recording.Arrival,
 ) -> recording.Recording:
     """Return a recording of one call and some runs."""
     return recording.Recording(runs=list(runs), calls=[call])
@@ -73,7 +80,7 @@
     return recording.Call('a', route, 'k1', 0, 1, 2, status, body)
 
 
-RUN = recording.Run('a', 'i-1', 1)
+RUN = recording.Arrival('a', 'i-1', 1)
 
 
 @pytest.mark.parametrize(
@@ -104,7 +111,7 @@
 
 
 def test_use_of_revoked_key_or_drained_endpoint_is_reported() -> None:
-    late_run = recording.Run('a', 'i-1', 9)
+    late_run = recording.Arrival('a', 'i-1', 9)
     call = recording.Call('a', 'look', 'k1', 0, 9, 10, 200, b'a')
     seen = _recorded(call, late_run)
     seen.revoked_s['k1'] = 9 - recording.REVOKE_S - 1
@@ -120,3 +127,36 @@
     assert not seen.cut_off(1, 4)
     seen.unplanned_fault_periods.append(recording.FaultPeriod(1, 2))
     assert not seen.cut_off(2, 4)
+
+
+def _told(endpoint_told_s: float, *arrivals_s: float) -> recording.Recording:
+    """Return a recording of a report to entry 0 and of its later requests."""
+    seen = recording.Recording()
+    for number, at_s in enumerate((endpoint_told_s, *arrivals_s)):
+        seen.calls.append(
+            recording.Call(str(number), 'look', 'k1', 0, at_s, at_s, 200)
+        )
+        seen.runs.append(recording.Arrival(str(number), 'i-1', at_s))
+    return seen
+
+
+def test_requests_to_an_endpoint_that_said_it_leaves_are_reported() -> None:
+    seen = _told(1, 2, 1 + recording.DRAIN_S + 0.1)
+    seen.leaving_reports.append(seen.runs[0])
+    assert len(report_checks.broken(seen)) == 1
+    seen.record_interruption(1, 1.5)
+    assert len(report_checks.broken(seen)) == 1
+    seen.record_interruption(0, 1.5)
+    assert not report_checks.broken(seen)
+
+
+def test_requests_to_an_endpoint_that_asked_for_rest_are_reported() -> None:
+    most = (1.6,) * report_checks.MAX_ARRIVALS
+    for arrivals_s, broken in ((most, 0), ((*most, 2), 1), ((*most, 4), 0)):
+        seen = _told(1, *arrivals_s)
+        seen.refusals.append(seen.runs.pop(0))
+        assert len(report_checks.broken(seen)) == broken
+    seen = _told(1, *most, 2)
+    seen.refusals.append(seen.runs.pop(0))
+    seen.lost_answer_periods.append(recording.FaultPeriod(0.5, 1.2))
+    assert not report_checks.broken(seen)
