--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -10,6 +10,7 @@
 from opentelemetry import metrics as metrics_api
 
 from camphorstair.fleet import (
+    absences,
     copy_serving,
     crash_reporting,
     directory,
@@ -214,11 +215,14 @@
     has run out and assigns free endpoints to the others.
     """
     entry = process.entry
+    absent = absences.Absences(entry)
     while True:
         await curio.sleep(TICK_S)
         now_s = clocks.monotonic_s()
         for name in roster.expire(entry.endpoints, now_s):
             _LOG.info('endpoint did not come back', extra={'endpoint': name})
+        for forgotten in absent.expire(now_s):
+            _LOG.info('endpoint forgotten', extra={'endpoint': forgotten})
         membership.expire(entry.members, now_s)
         crash_reports.expire(entry.crashes.history, now_s)
         for part in entry.crashes.quarantined.expire(now_s):
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -179,6 +179,11 @@
         self.candidates[name] = candidate
         return candidate
 
+    def forget(self, endpoint: str) -> None:
+        """Forget the load and health of an endpoint, and what it has said."""
+        self.candidates.pop(endpoint, None)
+        self.cold_sends.pop(endpoint, None)
+
     def queue(self, service: str) -> waiting.Queue:
         """Return the queue of a service; it is created on first use."""
         return self.queues.setdefault(service, waiting.Queue())
