--- a/packages/agent/src/camphorstair_agent/fleet/leading.py
+++ b/packages/agent/src/camphorstair_agent/fleet/leading.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+from collections import abc
 
 import attrs
 import curio
@@ -16,6 +17,7 @@
     map_planning,
     order_crashes,
     rank_calls,
+    round_logs,
     spread_calls,
     state,
 )
@@ -30,6 +32,8 @@
 IDLE_INTERVAL_PER_RANK_S = 0.006
 PREPARE_INTERVAL_S = 0.05
 ORDER_INTERVAL_S = 0.01
+# Most ranks that a line about missing ones names.
+MAX_LOGGED_RANKS = 4
 # Time after an order without a response during which orders count as
 # unreliable, so that the group is held further ahead.
 UNRELIABLE_ORDERS_S = 10.0
@@ -54,6 +58,7 @@
     :ivar pace: How fast the group makes steps and how long switches take.
     :ivar unreliable_deadline_s: Until when orders count as unreliable;
         monotonic clock.
+    :ivar rounds: Logs why rounds plan no new map.
     :ivar unanswered: Orders without an answer since the last round.
     """
 
@@ -69,6 +74,7 @@
     hold_sent_s: float = 0
     pace: step_margins.GroupPace = attrs.field(factory=step_margins.GroupPace)
     unreliable_deadline_s: float = 0
+    rounds: round_logs.RoundLog = attrs.field(factory=round_logs.RoundLog)
     unanswered: rank_calls.Orders = attrs.field(factory=list)
 
     async def run(self) -> None:
@@ -81,6 +87,8 @@
             interval_s = self._idle_interval_s()
             if len(ranks) == self.membership.size:
                 interval_s = await self._run_round(ranks)
+            else:
+                self._note_missing(round_logs.Reason.unregistered, ranks)
             await curio.sleep(interval_s)
 
     async def _run_round(self, ranks: rank_calls.Ranks) -> float:
@@ -91,6 +99,7 @@
         states = await self.calls.states(ranks)
         await self._check_unanswered(states, ranks)
         if len(states) < len(ranks):
+            self._note_missing(round_logs.Reason.silent, states)
             return self._idle_interval_s()
         reports = _reports(states)
         await self._record_progress(reports)
@@ -105,12 +114,31 @@
             return self._idle_interval_s()
         return await self._advance_switch(reports, ranks)
 
+    def _note_missing(
+        self, reason: round_logs.Reason, present: abc.Container[int]
+    ) -> None:
+        """Note a round for which some ranks are missing."""
+        missing = [
+            rank for rank in range(self.membership.size) if rank not in present
+        ]
+        self.rounds.note(
+            reason,
+            clocks.monotonic_s(),
+            lambda: {
+                'missing': len(missing),
+                'first_missing': missing[:MAX_LOGGED_RANKS],
+            },
+        )
+
     async def _plan(
         self, ranks: rank_calls.Ranks, states: rank_calls.States
     ) -> map_planning.MapPlan | None:
         """Return a new map, or None if there is none to switch to now."""
         group = self.membership.group
         if not self.crashes.may_begin_switch(group):
+            self.rounds.note(
+                round_logs.Reason.quarantined, clocks.monotonic_s()
+            )
             return None
         planned = await self.maps.plan(ranks, states)
         if planned is not None:
--- a/packages/agent/src/camphorstair_agent/fleet/map_planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/map_planning.py
@@ -8,10 +8,12 @@
 from camphorstair_agent.fleet import (
     instruments,
     rank_calls,
+    round_logs,
     spread_calls,
 )
 from camphorstair_core.experts import group_orders, group_planner
 from camphorstair_fleet import leasing
+from camphorstair_runtime import clocks
 
 # A rank that has not prepared a map after this time is sent the order again.
 PREPARE_LIMIT_S = 2.0
@@ -61,6 +63,7 @@
     :ivar spread: Client of all ranks of the group.
     :ivar leadership: The planner lease.
     :ivar planner: Estimates the experts' loads and computes new maps.
+    :ivar rounds: Logs why rounds plan no new map.
     :ivar in_use: The map last known to be in use, if any.
     :ivar epoch: Number of the group's formation.
     :ivar planned: Number of maps planned under this lease.
@@ -70,6 +73,7 @@
     spread: spread_calls.SpreadCalls
     leadership: leasing.Leadership
     planner: group_planner.GroupPlanner
+    rounds: round_logs.RoundLog = attrs.field(factory=round_logs.RoundLog)
     in_use: MapPlan | None = None
     epoch: int = 0
     planned: int = 0
@@ -88,6 +92,14 @@
         paces = [states[rank].pace for rank in sorted(states)]
         planned_sets = await self._compute(sets, paces)
         if planned_sets is None:
+            self.rounds.note(
+                round_logs.Reason.small_gain,
+                clocks.monotonic_s(),
+                lambda: {
+                    'skew': round(self.planner.skew(sets, paces), 3),
+                    'slowest_pace': max(paces),
+                },
+            )
             return None
         self.planned += 1
         version = group_orders.version_number(
@@ -128,10 +140,21 @@
         """
         versions = {rank_state.report.version for rank_state in states.values()}
         if len(versions) > 1:
+            self.rounds.note(
+                round_logs.Reason.mixed_maps,
+                clocks.monotonic_s(),
+                lambda: {'versions': len(versions)},
+            )
             return None
         version = versions.pop()
         if self.in_use is None or self.in_use.version != version:
             self.in_use = await self._read_map(ranks, version)
+        if self.in_use is None:
+            self.rounds.note(
+                round_logs.Reason.unread_map,
+                clocks.monotonic_s(),
+                lambda: {'version': version},
+            )
         return self.in_use.sets if self.in_use else None
 
     async def _read_map(
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -10,6 +10,7 @@
     map_planning,
     order_crashes,
     rank_calls,
+    round_logs,
     spread_calls,
     state,
 )
@@ -71,6 +72,7 @@
         planner = group_planner.GroupPlanner(
             profile.place_count, profile.spare_count
         )
+        rounds = round_logs.RoundLog()
         leader = leading.Leader(
             self.agent,
             self.calls,
@@ -79,8 +81,9 @@
             membership,
             self.crashes,
             map_planning.MapPlanner(
-                self.agent.meters, spread, leadership, planner
+                self.agent.meters, spread, leadership, planner, rounds
             ),
+            rounds=rounds,
         )
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(_renew_until_lost, leadership)
