camphorstair late: where late requests spent their time, from the logs

Per second: answered, late, refused, and for the late ones the mean time in the entry's queue, in failed attempts and at the endpoint, beside the highest skew that a planner logged. What an endpoint did meanwhile (prefill, slow steps) is not in our logs.

--- a/packages/core/src/camphorstair_core/request_traces.py
+++ b/packages/core/src/camphorstair_core/request_traces.py
@@ -33,6 +33,11 @@
         logged.
     :ivar attempts: Number of endpoints that the request was sent to.
     :ivar version: Version of the configuration; 0 if not logged.
+    :ivar queued_s: How long the request waited in the entry.
+    :ivar first_part_s: Time from its arrival to the first part of the answer.
+    :ivar attempt_s: How long a failed attempt took.
+    :ivar skew: Load of the busiest rank of a group, as a multiple of the mean;
+        0 if not logged.
     """
 
     time: str
@@ -43,6 +48,10 @@
     verdict: str = ''
     attempts: int = 0
     version: int = 0
+    queued_s: float = 0
+    first_part_s: float = 0
+    attempt_s: float = 0
+    skew: float = 0
 
 
 def trace(lines: list[LogLine], request: str) -> list[str]:
--- a/packages/entry/src/camphorstair/log_commands.py
+++ b/packages/entry/src/camphorstair/log_commands.py
@@ -1,4 +1,4 @@
-"""The command ``trace``, which reads logs."""
+"""The commands ``trace`` and ``late``, which read logs."""
 
 import pathlib
 import typing
@@ -7,7 +7,7 @@
 import typer
 
 from camphorstair import command_options
-from camphorstair_core import request_traces
+from camphorstair_core import late_requests, request_traces
 
 Request = typing.Annotated[
     str,
@@ -18,6 +18,15 @@
     typer.Argument(help='Log files of the entries.'),
 ]
 
+LimitMs = typing.Annotated[
+    float,
+    typer.Argument(
+        help='Time to the first part after which a request is late, in ms.',
+        min=0,
+    ),
+]
+_MS_PER_S = 1000
+
 
 def trace(request: Request, logs: LogFiles) -> None:
     """Show from logs how a request ended, and why.
@@ -34,9 +43,27 @@
         typer.echo(told)
 
 
+def late(limit_ms: LimitMs, logs: LogFiles) -> None:
+    """Show from logs, second by second, where late requests spent their time.
+
+    Example: camphorstair late 400 entry-1.log entry-2.log agent-1.log
+
+    Counts requests by the second in which they ended. The times are means over
+    the late ones: waiting in the entry, failed attempts, and the rest until the
+    first part, at the endpoint. The skew is the highest that a planner logged.
+
+    Exit codes: 0 shown, 2 a log can't be read.
+    """
+    lines = [line for path in logs for line in _read_log(path)]
+    seconds = late_requests.summarize(lines, limit_ms / _MS_PER_S)
+    for row in late_requests.table(seconds):
+        typer.echo(row)
+
+
 def register(app: typer.Typer) -> None:
-    """Register the command with an application."""
+    """Register the commands with an application."""
     app.command()(trace)
+    app.command()(late)
 
 
 def _read_log(path: pathlib.Path) -> list[request_traces.LogLine]:
