--- a/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
@@ -21,7 +21,7 @@
 # 0.1 s, but most reply within milliseconds.
 REPLY_LIMIT_S = 0.06
 SENDS = 3
-_RANDOM_BYTES = 4
+_FIRST_NUMBER_BYTES = 4
 
 _LOG = logging.getLogger(__name__)
 
@@ -57,7 +57,8 @@
 
 
 def _random_number() -> int:
-    return int.from_bytes(os.urandom(_RANDOM_BYTES))
+    """Return a number that an earlier process has hardly begun with."""
+    return int.from_bytes(os.urandom(_FIRST_NUMBER_BYTES))
 
 
 @attrs.define(eq=False)
--- a/packages/agent/src/camphorstair_agent/fleet/round_logs.py
+++ b/packages/agent/src/camphorstair_agent/fleet/round_logs.py
@@ -29,7 +29,7 @@
 
     :ivar reason: The reason that was logged last, if any.
     :ivar repeat_s: When the same reason is logged again; monotonic clock.
-    :ivar rounds: Number of rounds with it that were not logged.
+    :ivar rounds: Number of rounds since the last line.
     """
 
     reason: Reason | None = None
