--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -233,6 +233,8 @@
         *settings.split_address(address),
         server.serve,
     )
+    # The listener's task has to run before a connect can succeed.
+    await curio.sleep(0)
     name = state.identity.name
     vm = vms.Vm(
         name,
