Soak: start no entry again after the end of a run

Cause: the run's end kills its entries; the supervisor, if its sleep had just ended, took them for ended by themselves, reported them and started them again. Ruled out: memory (the kernel's oom_kill is 0).

Test: an ended fleet with its supervisor still running; its entry was started again and reported before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -128,6 +128,7 @@
         endpoint name.
     :ivar version: Version of the configuration written last.
     :ivar keys: API keys that the configuration accepts.
+    :ivar over: Whether the run is over and no entry is started again.
     """
 
     directory: pathlib.Path
@@ -144,6 +145,7 @@
     endpoint_proxies: dict[str, proxy.Proxy] = attrs.field(factory=dict)
     version: int = 0
     keys: set[str] = attrs.field(factory=set)
+    over: bool = False
     _endpoint_count: int = 0
 
     def elapsed_s(self) -> float:
@@ -194,6 +196,7 @@
 
         Waits for each of them to end.
         """
+        self.over = True
         for entry in self.entries:
             entry.send_signal(signal.SIGCONT)
             entry.send_signal(signal.SIGKILL)
@@ -251,7 +254,7 @@
 
     def _restart_if_exited(self, entry: Entry) -> None:
         code = entry.process.poll() if entry.process else None
-        if code is None or entry.stopping:
+        if code is None or entry.stopping or self.over:
             return
         told = f'{entry.address} ended by itself, exit code {code}'
         during_start = ' while it started' if entry.starting() else ''
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,29 @@
     return started.seen.faults
 
 
+def test_entries_are_not_started_again_after_the_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    ended = curio.run(_fleet_after_its_end, tmp_path)
+    assert not ended.seen.faults
+    process = ended.entry_at(0).process
+    assert process is not None
+    assert process.poll() is not None
+
+
+async def _fleet_after_its_end(directory: pathlib.Path) -> fleet.Fleet:
+    """Return a fleet that has ended, its supervisor still running."""
+    async with curio.TaskGroup(wait=any) as group:
+        ended = fleet.Fleet(directory, group, recording.Recording())
+        try:
+            await ended.start(1, ['k1'])
+        finally:
+            ended.end()
+        await curio.sleep(2 * fleet.RESTART_S)
+        await group.cancel_remaining()
+    return ended
+
+
 async def _restart_and_reload(started: fleet.Fleet) -> None:
     injector = faults.FaultInjector(started)
     now_s = started.elapsed_s()
