Soak: ask an entry at the end that nobody with an accepted key has asked

As strict now: an entry that served none of those who asked with an accepted key is reported as before; one that nobody asked is asked by the soak itself.

Test: a fleet of one that nobody asks was reported before; one that answers 503 to an accepted key, and one that has ended, are reported before and now.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,10 +45,10 @@
         """Send requests to random entries until cancelled."""
         while True:
             entry = self.generator.randrange(len(self.entries))
-            await self._send_batch(entry)
+            await self.send_batch(entry)
             await curio.sleep(PAUSE_S)
 
-    async def _send_batch(self, entry: int) -> None:
+    async def send_batch(self, entry: int) -> None:
         """Send up to ``REQUESTS_PER_CONNECTION`` requests on one connection.
 
         Stop earlier if the connection cannot be reused.
--- a/soak/running.py
+++ b/soak/running.py
@@ -82,39 +82,64 @@
     await _start_callers(running, seed, keys)
     await faults.FaultInjector(running).run(scheduled)
     await curio.sleep(max(0, duration_s - running.elapsed_s()))
-    running.seen.faults.extend(_idle_entries(running, duration_s))
+    running.seen.faults.extend(await idle_entries(running, duration_s))
 
 
 async def _start_callers(
     running: fleet.Fleet, seed: int, keys: list[str]
 ) -> None:
-    addresses = [entry.address for entry in running.entries]
     for number, key in enumerate(keys):
-        caller = callers.Caller(
-            f'{seed}-{number}',
-            key,
-            addresses,
-            random.Random(seed * CALLERS + number),
-            running.seen,
-            running.elapsed_s,
-        )
+        generator = random.Random(seed * CALLERS + number)
+        caller = _caller(running, f'{seed}-{number}', key, generator)
         await running.group.spawn(caller.run)
 
 
-def _idle_entries(running: fleet.Fleet, duration_s: float) -> list[str]:
-    """Describe the entries without a successful request at the end.
+def _caller(
+    running: fleet.Fleet, name: str, key: str, generator: random.Random
+) -> callers.Caller:
+    return callers.Caller(
+        name,
+        key,
+        [entry.address for entry in running.entries],
+        generator,
+        running.seen,
+        running.elapsed_s,
+    )
 
-    Requests count from the middle of the recovery time on.
+
+async def idle_entries(running: fleet.Fleet, duration_s: float) -> list[str]:
+    """Describe the entries that serve nobody at the end.
+
+    Requests count from the middle of the recovery time on. An entry that
+    nobody with an accepted key has asked by then is asked now.
     """
     recovered_by_s = duration_s - schedule.QUIET_END_S + RECOVERY_S
-    served = {
-        call.entry
+    accepted = [
+        call
         for call in running.seen.calls
         if call.sent_s > recovered_by_s - RECOVERY_S / 2
-        and call.status == http.HTTPStatus.OK
+        and call.key in running.keys
+    ]
+    served = {
+        call.entry for call in accepted if call.status == http.HTTPStatus.OK
     }
+    asked = {call.entry for call in accepted}
+    idle = set(range(len(running.entries))) - served
     return [
         f'entry {number} served nobody at the end'
-        for number in range(len(running.entries))
-        if number not in served
+        for number in sorted(idle)
+        if number in asked or not await _serves(running, number)
     ]
+
+
+async def _serves(running: fleet.Fleet, number: int) -> bool:
+    """Return whether an entry serves a caller whose key is accepted."""
+    key = min(running.keys)
+    name = f'last-{number}'
+    caller = _caller(running, name, key, random.Random(number))
+    await caller.send_batch(number)
+    return any(
+        call.status == http.HTTPStatus.OK
+        for call in running.seen.calls
+        if call.attempt.startswith(name)
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,41 @@
     return ended
 
 
+def test_only_entries_that_serve_nobody_who_asks_are_reported(
+    tmp_path: pathlib.Path,
+) -> None:
+    assert curio.run(_count_idle_entries, tmp_path) == [0, 1, 1]
+
+
+async def _count_idle_entries(directory: pathlib.Path) -> list[int]:
+    """Count the idle entries of a fleet of one, in three cases.
+
+    Nobody asks it; a caller with an accepted key asks it in vain; it has ended
+    and nobody asks it.
+    """
+    refused = _call('look', 503)
+    async with curio.TaskGroup(wait=any) as group:
+        alive = fleet.Fleet(directory, group, recording.Recording())
+        try:
+            await alive.start(1, ['k1'])
+            counts = [
+                await _count_idle(alive),
+                await _count_idle(alive, refused),
+            ]
+        finally:
+            alive.end()
+        counts.append(await _count_idle(alive))
+        await group.cancel_remaining()
+    return counts
+
+
+async def _count_idle(alive: fleet.Fleet, *calls: recording.Call) -> int:
+    """Count the entries that are idle if these are the calls so far."""
+    alive.seen.calls.clear()
+    alive.seen.calls.extend(calls)
+    return len(await running.idle_entries(alive, 0))
+
+
 async def _restart_and_reload(started: fleet.Fleet) -> None:
     injector = faults.FaultInjector(started)
     now_s = started.elapsed_s()
