--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -185,6 +185,7 @@
         method: str = 'POST',
         key: str = KEY,
         entry: serving.Process | None = None,
+        body: bytes = b'body',
         **headers: str,
     ) -> http_client.Exchange:
         """Send a caller's request and read the head of the response.
@@ -193,13 +194,14 @@
 
         :param attempt: Identifier of the attempt.
         :param entry: The entry to send it to; by default the first one.
+        :param body: The body.
         :param headers: Further headers, with ``_`` in place of ``-``.
         """
         request_headers = exchange_headers.request(attempt, key, CALLER_LIMIT_S)
         request_headers.extend(
             (name.replace('_', '-'), value) for name, value in headers.items()
         )
-        request = http_messages.Request(method, path, request_headers, b'body')
+        request = http_messages.Request(method, path, request_headers, body)
         told = entry.entry.settings if entry else self.told
         exchange = await http_client.connect(told.callers_address)
         await http_client.send(exchange, HOST, request)
--- a/tests/test_fleet_crashing_prompts.py
+++ b/tests/test_fleet_crashing_prompts.py
@@ -1,9 +1,6 @@
 """Tests of prompts under which one engine after the other crashes."""
 
-import itertools
-from collections import abc
-
-import attrs
+import crashing_world
 import curio
 import fleet_bench
 import msgspec
@@ -12,14 +9,10 @@
 from camphorstair.fleet import crash_reporting, serving
 from camphorstair_core.fleet import quarantine, store_copy
 from camphorstair_fleet import keys
-from camphorstair_platform_standins import crashing, documents, scripted
-from camphorstair_runtime import clocks, http_client
-from camphorstair_standins import loopback
+from camphorstair_platform_standins import crashing, scripted
+from camphorstair_runtime import clocks
 
 CRASHING_PART = 'badbad01'
-FIRST_PART = '5c1e07a2'
-ENGINES = 3
-RESTART_S = 0.3
 # As many drafts as an endpoint runs concurrently keep it busy.
 SLOTS = 4
 FINAL_ANSWER_LIMIT_S = 0.5
@@ -34,78 +27,21 @@
 QUARANTINE_LIMIT_S = 20.0
 
 
-@attrs.define(eq=False)
-class World:
-    """Two entries before engines that one part of a prompt crashes.
-
-    :ivar bench: The first entry and the store.
-    :ivar entries: All entries.
-    :ivar crashes_s: Times of the crashes so far.
-    :ivar arrivals: Number of requests with the part that reached engines.
-    """
-
-    bench: fleet_bench.FleetBench
-    entries: list[serving.Process] = attrs.field(factory=list)
-    crashes_s: list[float] = attrs.field(factory=list)
-    arrivals: int = 0
-    numbers: abc.Iterator[int] = attrs.field(factory=itertools.count)
-
-    async def start(self) -> None:
-        """Start the second entry and the engines."""
-        second = await self.bench.add_entry('front-2')
-        self.entries = [self.bench.process, second]
-        for number in range(ENGINES):
-            await curio.spawn(self._keep_engine, number, daemon=True)
-        known = self.bench.entry.endpoints.endpoints
-        await self.bench.wait_until(lambda: len(known) == ENGINES)
-
-    async def send(self, *parts: str) -> int:
-        """Send a draft to the next entry.
-
-        :param parts: Shared parts of its prompt; it gets a last one of its own.
-        :returns: Status of a complete answer; 0 if it broke off.
-        """
-        number = next(self.numbers)
-        prompt = ','.join(f'{part}:40' for part in (*parts, f'own{number}'))
-        try:
-            answer = await self.bench.call(
-                '/draft/',
-                f'a{number}',
-                entry=self.entries[number % len(self.entries)],
-                x_camphorstair_prompt_prefix=prompt,
-            )
-        except http_client.HttpError:
-            return 0
-        return answer.status
-
-    async def send_crashing(self) -> int:
-        """Send a draft with the part, unlike all others but for that."""
-        return await self.send(
-            FIRST_PART, f'doc{next(self.numbers)}', CRASHING_PART
-        )
-
-    async def _keep_engine(self, number: int) -> None:
-        """Run an engine; start it again, as another one, after each crash."""
-        address = loopback.free_address()
-        for start in itertools.count():
-            engine = crashing.CrashingEngine(address, CRASHING_PART)
-            name = f'i-{number}-{start}'
-            self.bench.register(name, 'engine', address)
-            await engine.run()
-            self.arrivals += engine.crashing_arrivals()
-            self.crashes_s.append(clocks.monotonic_s())
-            self.bench.store.remove(documents.registration_key(name))
-            await curio.sleep(RESTART_S)
-
-
-async def _send_round(world: World) -> int:
+async def _send_crashing(world: crashing_world.World) -> int:
+    """Send a draft with the part, unlike all others but for that."""
+    return await world.send(
+        crashing_world.FIRST_PART, f'doc{next(world.numbers)}', CRASHING_PART
+    )
+
+
+async def _send_round(world: crashing_world.World) -> int:
     """Send a draft with the part, then a sound one; return its status."""
-    await world.send_crashing()
-    await curio.sleep(RESTART_S)
-    return await world.send(FIRST_PART, 'doc')
+    await _send_crashing(world)
+    await curio.sleep(crashing_world.RESTART_S)
+    return await world.send_sound()
 
 
-async def _quarantine(world: World) -> None:
+async def _quarantine(world: crashing_world.World) -> None:
     """Crash engines until all entries refuse the part."""
     await world.start()
     async with curio.timeout_after(QUARANTINE_LIMIT_S):
@@ -116,27 +52,29 @@
             await _send_round(world)
 
 
-async def _assert_refused(world: World, process: serving.Process) -> None:
+async def _assert_refused(
+    world: crashing_world.World, process: serving.Process
+) -> None:
     """Assert that an entry refuses a draft with the part, and no other."""
     arrivals = world.arrivals
     world.entries = [process]
-    assert await world.send_crashing() == 503
-    assert await world.send(FIRST_PART, 'doc') == 200
+    assert await _send_crashing(world) == 503
+    assert await world.send_sound() == 200
     assert world.arrivals == arrivals
 
 
 @pytest.fixture
-def world() -> World:
-    return World(fleet_bench.FleetBench())
+def world() -> crashing_world.World:
+    return crashing_world.World(crashing.has_part(CRASHING_PART))
 
 
 def test_a_prompt_part_that_crashes_engines_stops_reaching_them(
-    world: World,
+    world: crashing_world.World,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         await world.start()
         for _ in range(4):
-            assert await world.send(FIRST_PART, 'doc') == 200
+            assert await world.send_sound() == 200
         for _ in range(FIRST_ROUNDS):
             if len(world.crashes_s) < MAX_CRASHES:
                 await _send_round(world)
@@ -149,7 +87,9 @@
     world.bench.run(body)
 
 
-def test_an_entry_that_starts_later_refuses_the_part(world: World) -> None:
+def test_an_entry_that_starts_later_refuses_the_part(
+    world: crashing_world.World,
+) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         await _quarantine(world)
         await _assert_refused(world, await running.add_entry('front-9'))
@@ -158,7 +98,7 @@
 
 
 def test_the_part_stays_refused_after_the_store_lost_its_key(
-    world: World,
+    world: crashing_world.World,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         earlier = running.store.copy_content()
@@ -181,7 +121,9 @@
     world.bench.run(body)
 
 
-def test_an_operator_releases_a_part_by_removing_its_key(world: World) -> None:
+def test_an_operator_releases_a_part_by_removing_its_key(
+    world: crashing_world.World,
+) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         await _quarantine(world)
         running.store.remove(keys.quarantined(CRASHING_PART))
@@ -208,7 +150,7 @@
 
 
 def test_a_queued_request_with_a_found_part_is_refused_at_once(
-    world: World,
+    world: crashing_world.World,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         await running.add_endpoint('i-1', 'engine', BUSY)
@@ -218,7 +160,7 @@
         ]
         await running.wait_until(lambda: running.entry.queues)
         world.entries = [running.process]
-        queued = await curio.spawn(world.send_crashing)
+        queued = await curio.spawn(_send_crashing, world)
         queue = running.entry.queue('engine')
         await running.wait_until(lambda: queue.waiters)
         found_s = clocks.monotonic_s()
