--- a/packages/core/src/camphorstair_core/fleet/quarantine.py
+++ b/packages/core/src/camphorstair_core/fleet/quarantine.py
@@ -1,68 +1,112 @@
-"""The parts of prompts that no engine is sent, as they crash engines."""
+"""What no endpoint is sent, as endpoints crash under it: prompt parts, requests.
+
+A conclusion may be wrong, so after a while one request in the whole fleet is
+sent as a trial. If it is answered, the quarantine ends. Each further trial waits
+longer.
+"""
 
 from collections import abc
 
 import attrs
 
-# How long a part is refused. An engine that was repaired is used for it again
-# afterwards, at the risk of one more crash.
+# How long a suspect stays quarantined after the conclusion or the last trial.
 QUARANTINE_S = 600.0
-# The same for a part that is only one of several that may be the cause. The
-# next crash tells them apart.
-DOUBTFUL_QUARANTINE_S = 20.0
+# Time before the first trial, and the same for a suspect that is only one of
+# several that may be the cause.
+FIRST_TRIAL_S = 60.0
+DOUBTFUL_TRIAL_S = 20.0
+# Each trial waits this many times as long as the one before.
+TRIAL_DELAY_FACTOR = 4
+MAX_TRIAL_DELAY_S = 540.0
 
 
 @attrs.frozen
 class QuarantinedPart:
-    """A part that must not be sent to engines.
+    """A prompt part or a request that must not be sent to endpoints.
 
-    :ivar part: Identifier of the part.
-    :ivar remaining_s: Time for which it is still refused.
+    :ivar part: Identifier of the part or the request.
+    :ivar remaining_s: Time until a trial may be made.
+    :ivar trials: Number of trials made so far.
     """
 
     part: str
     remaining_s: float
+    trials: int = 0
+
+
+@attrs.define
+class Hold:
+    """A quarantine as one entry knows it.
+
+    :ivar trial_s: When a trial may be made.
+    :ivar end_s: When the quarantine ends.
+    :ivar trials: Number of trials made so far.
+    :ivar revision: Revision of the store's key; 0 if it was not read.
+    :ivar era: Era of the store in which the key was read last.
+    """
+
+    trial_s: float
+    end_s: float
+    trials: int = 0
+    revision: int = 0
+    era: int = 0
 
 
 @attrs.define
 class Quarantine:
-    """The quarantined parts.
+    """What is quarantined.
 
-    :ivar deadline_s: Until when each part is refused.
+    :ivar holds: The quarantines by part or request.
     """
 
-    deadline_s: dict[str, float] = attrs.field(factory=dict)
+    holds: dict[str, Hold] = attrs.field(factory=dict)
 
-    def add(self, part: str, deadline_s: float) -> None:
-        """Quarantine a part until a deadline, or until a later one it has."""
-        before_s = self.deadline_s.get(part, 0)
-        self.deadline_s[part] = max(before_s, deadline_s)
+    def add(self, suspect: str, delay_s: float, now_s: float) -> Hold:
+        """Quarantine a suspect, or extend its quarantine.
 
-    def release(self, part: str) -> None:
-        """Release a part, if it is quarantined."""
-        self.deadline_s.pop(part, None)
+        :param delay_s: Time until a trial; an earlier trial is put off.
+        """
+        hold = self.holds.setdefault(suspect, Hold(now_s, now_s))
+        hold.trial_s = max(hold.trial_s, now_s + delay_s)
+        hold.end_s = max(hold.end_s, now_s + QUARANTINE_S)
+        return hold
+
+    def release(self, suspect: str) -> None:
+        """Release a suspect, if it is quarantined."""
+        self.holds.pop(suspect, None)
 
     def expire(self, now_s: float) -> list[str]:
-        """Release the parts whose deadlines have passed and return them."""
+        """Release the suspects whose quarantine has ended and return them."""
         released = [
-            part
-            for part, deadline_s in self.deadline_s.items()
-            if deadline_s <= now_s
+            suspect
+            for suspect, hold in self.holds.items()
+            if hold.end_s <= now_s
         ]
-        for part in released:
-            self.release(part)
+        for suspect in released:
+            self.release(suspect)
         return released
 
     def find(
         self,
-        parts: abc.Iterable[str],
+        suspects: abc.Iterable[str],
         now_s: float,
     ) -> QuarantinedPart | None:
-        """Return the first quarantined part of a prompt, or None."""
-        if not self.deadline_s:
+        """Return the quarantined suspect whose trial comes last, or None."""
+        if not self.holds:
             return None
-        for part in parts:
-            remaining_s = self.deadline_s.get(part, 0) - now_s
-            if remaining_s > 0:
-                return QuarantinedPart(part, remaining_s)
-        return None
+        found = [
+            QuarantinedPart(suspect, max(0, hold.trial_s - now_s), hold.trials)
+            for suspect in suspects
+            if (hold := self.holds.get(suspect)) and now_s < hold.end_s
+        ]
+        return max(found, key=lambda row: row.remaining_s, default=None)
+
+
+def trial_delay_s(trials: int, *, sole: bool = True) -> float:
+    """Return how long to wait before the next trial.
+
+    :param trials: Number of trials made so far.
+    :param sole: Whether nothing else may be the cause.
+    """
+    first_s = FIRST_TRIAL_S if sole else DOUBTFUL_TRIAL_S
+    return min(first_s * TRIAL_DELAY_FACTOR**trials, MAX_TRIAL_DELAY_S)
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -37,8 +37,10 @@
     :ivar latest_useful_start_s: Latest start at which the answer can be
         complete by its deadline.
     :ivar excluded: Endpoints that it must not be sent to.
+    :ivar request: Identifier of the attempt, for the log.
     :ivar suspects: What in it may crash endpoints: its identity and the parts
         of its prompt that other prompts share.
+    :ivar trials: Those in spite of which it is sent, as a trial.
     """
 
     organisation: str
@@ -47,7 +49,15 @@
     latest_timely_start_s: float = 0
     latest_useful_start_s: float = 0
     excluded: set[str] = attrs.field(factory=set)
+    request: str = ''
     suspects: tuple[str, ...] = ()
+    trials: set[str] = attrs.field(factory=set)
+
+    def untried(self) -> list[str]:
+        """Return the suspects for which it is no trial."""
+        return [
+            suspect for suspect in self.suspects if suspect not in self.trials
+        ]
 
 
 @attrs.define
@@ -150,12 +160,12 @@
     now_s: float,
 ) -> list[Waiter]:
     """Remove the quarantined requests and return them."""
-    if not known.deadline_s:
+    if not known.holds:
         return []
     found = [
         waiter
         for waiter in queue.waiters
-        if known.find(waiter.suspects, now_s) is not None
+        if known.find(waiter.untried(), now_s) is not None
     ]
     _remove(queue, found)
     return found
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -7,19 +7,17 @@
 """
 
 import logging
-import typing
 
 import attrs
 import curio
 import msgspec
 
-from camphorstair.fleet import crash_state, dispatch, state
+from camphorstair.fleet import dispatch, quarantining, state
 from camphorstair_core.fleet import (
     crash_culprits,
     crash_incidents,
     crash_reports,
     quarantine,
-    request_identity,
 )
 from camphorstair_fleet import keys
 from camphorstair_platform import fields, store, store_errors
@@ -36,12 +34,6 @@
 # Longest random delay before a key that the store has lost is written again,
 # so that mostly one entry does so.
 RESTORE_DELAY_S = 1.0
-# A conclusion that lengthens a quarantine by less than this is no news, nor is
-# the removal of a key that has less time left.
-MIN_EXTENSION_S = 5.0
-
-Content = typing.TypeVar('Content')
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -52,12 +44,14 @@
     :ivar entry: The entry's state.
     :ivar dispatcher: Serves the queues after a conclusion.
     :ivar client: Client of the store.
+    :ivar keeper: Writes the conclusions to the store.
     :ivar last_published: The reports that the store has of this entry.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     client: store.StoreClient
+    keeper: quarantining.QuarantineKeeper
     last_published: tuple[crash_reports.CrashReport, ...] = ()
 
     async def run(self) -> None:
@@ -68,6 +62,7 @@
             await curio.sleep(GATHER_S)
             await self._publish_reports()
             await self._restore_lost()
+            await self._end_answered()
             await curio.sleep(CLEARANCE_S)
             await self._conclude()
 
@@ -93,29 +88,31 @@
         await self.entry.crashes.news.set()
 
     async def _restore_lost(self) -> None:
-        """Write the keys of quarantined parts that the store has lost."""
+        """Write the keys of quarantines that the store has lost."""
         crashes = self.entry.crashes
+        holds = crashes.quarantined.holds
         lost = [
-            part
-            for part, era in crashes.quarantine_eras.items()
-            if era != crashes.store_era
+            suspect
+            for suspect, hold in holds.items()
+            if hold.revision and hold.era != crashes.store_era
         ]
         if lost:
             delay_s = self.entry.generator.uniform(0, RESTORE_DELAY_S)
             await curio.sleep(delay_s)
-        for part in lost:
-            if crashes.quarantine_eras.get(part) != crashes.store_era:
-                await self._restore(part)
+        for suspect in lost:
+            hold = holds.get(suspect)
+            if hold is not None and hold.era != crashes.store_era:
+                await self.keeper.write(suspect)
 
-    async def _restore(self, part: str) -> None:
-        """Write the key of a quarantined part for as long as it is refused."""
-        found = self.entry.crashes.quarantined.find(
-            (part,), clocks.monotonic_s()
-        )
-        if found is None or found.remaining_s < MIN_EXTENSION_S:
-            self.entry.crashes.quarantine_eras.pop(part)
-        else:
-            await self._write(keys.quarantined(part), found, found.remaining_s)
+    async def _end_answered(self) -> None:
+        """End the quarantines whose trials were answered."""
+        crashes = self.entry.crashes
+        for suspect in list(crashes.answered_trials):
+            if await self.keeper.remove(suspect):
+                crashes.answered_trials.discard(suspect)
+        if crashes.answered_trials:
+            await curio.sleep(RETRY_INTERVAL_S)
+            await crashes.news.set()
 
     async def _conclude(self) -> None:
         """Quarantine what was found to crash endpoints."""
@@ -129,32 +126,31 @@
             await self.dispatcher.serve_queues()
 
     async def _quarantine(self, culprit: crash_culprits.Culprit) -> None:
-        """Quarantine a part; tell the store if this entry reported it."""
-        limit_s = (
-            quarantine.QUARANTINE_S
-            if culprit.sole
-            else quarantine.DOUBTFUL_QUARANTINE_S
-        )
-        deadline_s = clocks.monotonic_s() + limit_s
+        """Quarantine a suspect; tell the store if this entry reported it."""
         known = self.entry.crashes.quarantined
-        if known.deadline_s.get(culprit.part, 0) > deadline_s - MIN_EXTENSION_S:
+        hold = known.holds.get(culprit.part)
+        trials = hold.trials if hold else 0
+        delay_s = quarantine.trial_delay_s(trials, sole=culprit.sole)
+        now_s = clocks.monotonic_s()
+        news_s = now_s + delay_s - quarantining.MIN_EXTENSION_S
+        if hold and hold.trial_s > news_s:
             return
-        known.add(culprit.part, deadline_s)
+        known.add(culprit.part, delay_s, now_s)
         _LOG.warning(
             '%s quarantined',
-            _kind(culprit.part),
+            quarantining.kind(culprit.part),
             extra={
                 'part': culprit.part,
-                'limit_s': limit_s,
+                'delay_s': delay_s,
                 'sole': culprit.sole,
+                'trials': trials,
                 'crashes': len(self.entry.crashes.history.crashes),
             },
         )
         if crash_reports.is_reporter(
             self.entry.crashes.history, self.entry.settings.name, culprit.part
         ):
-            row = quarantine.QuarantinedPart(culprit.part, limit_s)
-            await self._write(keys.quarantined(culprit.part), row, limit_s)
+            await self.keeper.write(culprit.part)
 
     async def _write(self, key: str, content: object, ttl_s: float) -> bool:
         """Write a key that the store keeps for some time.
@@ -202,64 +198,13 @@
     """
     if content is None or reporter == entry.settings.name:
         return
-    for report in _decode(content, tuple[crash_reports.CrashReport, ...]):
+    try:
+        reports = msgspec.json.decode(
+            content, type=tuple[crash_reports.CrashReport, ...]
+        )
+    except msgspec.DecodeError as error:
+        raise fields.FormatError(f'invalid reports: {error}') from error
+    for report in reports:
         crash_reports.add_report(
             entry.crashes.history, reporter, report, clocks.monotonic_s()
         )
-
-
-def apply_quarantine(
-    entry: state.FleetEntry,
-    part: str,
-    content: bytes | None,
-    era: int,
-) -> None:
-    """Apply a change of a quarantined part's key.
-
-    If the store has come back from an older copy and has lost the key, the part
-    stays quarantined until its deadline.
-
-    :param content: The value of the key; None if the key was removed.
-    :param era: Era of the store.
-    :raises fields.FormatError: if the value can't be decoded.
-    """
-    crashes = entry.crashes
-    if content is not None:
-        row = _decode(content, quarantine.QuarantinedPart)
-        deadline_s = clocks.monotonic_s() + row.remaining_s
-        crashes.quarantined.add(part, deadline_s)
-        crashes.quarantine_eras[part] = era
-    elif crashes.quarantine_eras.get(part) == era:
-        _release(crashes, part)
-    _LOG.info(
-        'quarantine of a %s %s',
-        _kind(part),
-        'removed' if content is None else 'read',
-        extra={'part': part, 'era': era},
-    )
-
-
-def _release(crashes: crash_state.CrashState, part: str) -> None:
-    """Release a part whose key was removed.
-
-    If its lease has not ended, an operator has removed it, and the crashes so
-    far do not count any more.
-    """
-    now_s = clocks.monotonic_s()
-    found = crashes.quarantined.find((part,), now_s)
-    if found is not None and found.remaining_s > MIN_EXTENSION_S:
-        crash_reports.release(crashes.history, part, now_s)
-    crashes.quarantined.release(part)
-    crashes.quarantine_eras.pop(part)
-
-
-def _kind(suspect: str) -> str:
-    """Return what a suspect is, for the log."""
-    return 'request' if request_identity.is_identity(suspect) else 'prompt part'
-
-
-def _decode(content: bytes, kind: type[Content]) -> Content:
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid {kind}: {error}') from error
--- a/packages/entry/src/camphorstair/fleet/crash_state.py
+++ b/packages/entry/src/camphorstair/fleet/crash_state.py
@@ -15,10 +15,11 @@
     :ivar history: The crashes that entries have reported.
     :ivar quarantined: Requests and parts of prompts that no endpoint is sent.
     :ivar checks: Checks whether an endpoint's process has ended.
-    :ivar quarantine_eras: Era of the store in which the key of each quarantine
-        was read last.
+    :ivar answered_trials: Suspects whose trials were answered and whose keys
+        are still in the store.
     :ivar store_era: Era of the store that this entry follows.
-    :ivar news: Set when a crash was reported or the store's era has changed.
+    :ivar news: Set when a crash was reported, a trial was answered or the
+        store's era has changed.
     """
 
     answered: answered_parts.AnsweredParts = attrs.field(
@@ -30,7 +31,7 @@
     quarantined: quarantine.Quarantine = attrs.field(
         factory=quarantine.Quarantine
     )
-    quarantine_eras: dict[str, int] = attrs.field(factory=dict)
+    answered_trials: set[str] = attrs.field(factory=set)
     store_era: int = 0
     checks: crash_checks.CrashChecks = attrs.field(
         factory=crash_checks.CrashChecks
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -54,10 +54,22 @@
 def must_not_repeat(entry: state.FleetEntry, attempt: attempts.Attempt) -> bool:
     """Return whether a request is not sent again after its endpoint crashed.
 
-    That is so if it was at another endpoint that crashed, or if some part of
-    its prompt was never answered.
+    That is so if it was at another endpoint that crashed, if it was a trial, or
+    if some part of its prompt was never answered.
     """
-    return attempt.repeated or bool(_unanswered_parts(entry, attempt))
+    if attempt.repeated or attempt.call.waiter.trials:
+        return True
+    return bool(_unanswered_parts(entry, attempt))
+
+
+async def note_answered(
+    entry: state.FleetEntry, attempt: attempts.Attempt
+) -> None:
+    """End the quarantines that an answered request was the trial of."""
+    trials = attempt.call.waiter.trials
+    if trials and attempt.progress.proven:
+        entry.crashes.answered_trials |= trials
+        await entry.crashes.news.set()
 
 
 def _unanswered_parts(
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -9,7 +9,12 @@
 import attrs
 import msgspec
 
-from camphorstair.fleet import crash_reporting, dispatch, state
+from camphorstair.fleet import (
+    crash_reporting,
+    dispatch,
+    quarantining,
+    state,
+)
 from camphorstair_core import vms
 from camphorstair_core.fleet import (
     membership,
@@ -134,12 +139,7 @@
             reporter = item.key.removeprefix(keys.CRASHES_PREFIX)
             crash_reporting.apply_reports(self.entry, reporter, item.content)
         elif item.key.startswith(keys.QUARANTINE_PREFIX):
-            crash_reporting.apply_quarantine(
-                self.entry,
-                item.key.removeprefix(keys.QUARANTINE_PREFIX),
-                item.content,
-                self.mirror.known.era,
-            )
+            quarantining.apply_key(self.entry, item, self.mirror.known.era)
 
     def _apply_data_centre_out(self, item: store_copy.Item) -> None:
         """Record that a data centre is taken out of service or put back."""
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -105,6 +105,7 @@
             raise
         except attempts.AttemptError as failure:
             self.outcomes.record_failed(attempt, failure)
+            await crash_suspects.note_answered(self.entry, attempt)
             crashed = await crash_suspects.check(self.entry, attempt, failure)
             failure.suspect = crashed and crash_suspects.must_not_repeat(
                 self.entry, attempt
@@ -112,6 +113,7 @@
             return failure
         self.call.attempts += 1
         self.call.verdict = verdicts.Verdict.ran
+        await crash_suspects.note_answered(self.entry, attempt)
         ejection.record_success(candidate.health, attempt.began_s)
         self.outcomes.record_answered(attempt, self.queued_s)
         return None
--- a/packages/entry/src/camphorstair/fleet/gauges.py
+++ b/packages/entry/src/camphorstair/fleet/gauges.py
@@ -25,9 +25,7 @@
     gauge('queued_requests', lambda: _queued_count(entry))
     gauge('endpoints', lambda: len(entry.endpoints.endpoints))
     gauge('ejected_endpoints', lambda: _ejected_count(entry))
-    gauge(
-        'quarantined_parts', lambda: len(entry.crashes.quarantined.deadline_s)
-    )
+    gauge('quarantined_parts', lambda: len(entry.crashes.quarantined.holds))
     gauge('members', lambda: len(entry.members.present))
 
 
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -113,6 +113,7 @@
         limit_s = min(route.timeout_s, caller_limit_s)
         waiter = _waiter(route, organisation, now_s)
         identity = _identity(request, waiter.organisation or caller_headers.key)
+        waiter.request = caller_headers.attempt
         waiter.suspects = (identity, *caller_headers.prompt_parts)
         waiting.set_deadlines(
             waiter,
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -20,6 +20,7 @@
     internal_serving,
     joining,
     moving,
+    quarantining,
     receiving,
     relaying,
     sensing,
@@ -82,7 +83,10 @@
         told, random.SystemRandom(), instruments.create(meter)
     )
     gauges.create(meter, entry)
-    dispatcher = dispatch.Dispatcher(entry)
+    keeper = quarantining.QuarantineKeeper(
+        entry, store.StoreClient(told.store.address)
+    )
+    dispatcher = dispatch.Dispatcher(entry, keeper)
     receiver = receiving.Receiver(entry, dispatcher)
     return Process(
         entry,
@@ -93,7 +97,7 @@
         joining.EntryMembership(entry, store.StoreClient(told.store.address)),
         following.Follower(entry, dispatcher),
         crash_reporting.CrashReporter(
-            entry, dispatcher, store.StoreClient(told.store.address)
+            entry, dispatcher, store.StoreClient(told.store.address), keeper
         ),
     )
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -201,18 +201,41 @@
 
 def test_a_quarantined_part_is_refused_until_its_deadline() -> None:
     known = quarantine.Quarantine()
-    known.add(BAD, 10)
-    known.add(BAD, 5)
+    known.add(BAD, 10, 0)
+    known.add(BAD, 5, 0)
     assert known.find((COMMON, BAD), 8) == quarantine.QuarantinedPart(BAD, 2)
     assert known.find((COMMON,), 8) is None
 
 
 def test_a_quarantine_ends_at_its_deadline() -> None:
     known = quarantine.Quarantine()
-    known.add(BAD, 10)
-    assert not known.expire(9)
-    assert known.expire(10) == [BAD]
-    assert known.find((BAD,), 9) is None
+    known.add(BAD, 10, 0)
+    end_s = quarantine.QUARANTINE_S
+    assert not known.expire(end_s - 1)
+    trial_due = quarantine.QuarantinedPart(BAD, 0)
+    assert known.find((BAD,), end_s - 1) == trial_due
+    assert known.expire(end_s) == [BAD]
+    assert known.find((BAD,), end_s - 1) is None
+
+
+def test_a_request_waits_for_the_last_of_its_quarantined_parts() -> None:
+    known = quarantine.Quarantine()
+    known.add(BAD, 10, 0)
+    known.add(COMMON, 20, 0)
+    found = known.find((COMMON, BAD), 5)
+    assert found == quarantine.QuarantinedPart(COMMON, 15)
+
+
+@pytest.mark.parametrize('sole', [True, False])
+def test_trials_begin_within_a_minute_and_become_rare(sole: bool) -> None:
+    delays_s = [
+        quarantine.trial_delay_s(trials, sole=sole) for trials in range(8)
+    ]
+    assert delays_s[0] <= 60
+    assert delays_s == sorted(delays_s)
+    # In an hour no more trials than a request may be repeated.
+    assert sum(delays_s[:4]) > 600
+    assert delays_s[-1] < quarantine.QUARANTINE_S
 
 
 class CrashingFleet(stateful.RuleBasedStateMachine):
--- a/tests/test_fleet_crashing_prompts.py
+++ b/tests/test_fleet_crashing_prompts.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from camphorstair.fleet import crash_reporting, serving
+from camphorstair.fleet import quarantining, serving
 from camphorstair_core.fleet import quarantine, store_copy
 from camphorstair_fleet import keys
 from camphorstair_platform_standins import crashing, scripted
@@ -46,8 +46,7 @@
     await world.start()
     async with curio.timeout_after(QUARANTINE_LIMIT_S):
         while not all(
-            process.entry.crashes.quarantined.deadline_s
-            for process in world.entries
+            process.entry.crashes.quarantined.holds for process in world.entries
         ):
             await _send_round(world)
 
@@ -128,7 +127,7 @@
         await _quarantine(world)
         running.store.remove(keys.quarantined(CRASHING_PART))
         quarantined = running.entry.crashes.quarantined
-        await running.wait_until(lambda: not quarantined.deadline_s)
+        await running.wait_until(lambda: not quarantined.holds)
 
     world.bench.run(body)
 
@@ -139,11 +138,14 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         entry = running.entry
-        row = quarantine.QuarantinedPart(CRASHING_PART, remaining_s)
-        content = msgspec.json.encode(row)
-        for value in (content, None):
-            crash_reporting.apply_quarantine(entry, CRASHING_PART, value, 1)
-        assert not entry.crashes.quarantined.deadline_s
+        row = quarantine.QuarantinedPart(CRASHING_PART, 0)
+        key = keys.quarantined(CRASHING_PART)
+        written = store_copy.Item(key, msgspec.json.encode(row), 1)
+        quarantining.apply_key(entry, written, 1)
+        holds = entry.crashes.quarantined.holds
+        holds[CRASHING_PART].end_s = clocks.monotonic_s() + remaining_s
+        quarantining.apply_key(entry, store_copy.Item(key, None, 2), 1)
+        assert not holds
         assert bool(entry.crashes.history.released_s) == forgets
 
     fleet_bench.FleetBench().run(body)
@@ -164,7 +166,7 @@
         queue = running.entry.queue('engine')
         await running.wait_until(lambda: queue.waiters)
         found_s = clocks.monotonic_s()
-        running.entry.crashes.quarantined.add(CRASHING_PART, found_s + 60)
+        running.entry.crashes.quarantined.add(CRASHING_PART, 60, found_s)
         assert await queued.join() == 503
         assert clocks.monotonic_s() - found_s < FINAL_ANSWER_LIMIT_S
         for task in tasks:
--- a/tests/test_fleet_crashing_requests.py
+++ b/tests/test_fleet_crashing_requests.py
@@ -3,9 +3,12 @@
 import crashing_world
 import curio
 import fleet_bench
+import msgspec
 import pytest
 
-from camphorstair_platform_standins import crashing
+from camphorstair_core.fleet import quarantine, request_identity
+from camphorstair_fleet import keys
+from camphorstair_platform_standins import crashing, documents
 
 CRASHING_BODY = b'reserve yard -1'
 # After the third crash and this time, at most this many copies of the request
@@ -14,6 +17,8 @@
 MAX_CRASHES = 3
 MAX_LATER_ARRIVALS = 3
 FIRST_ROUNDS = 12
+MAX_REFUSAL_S = 90
+COPIES = 6
 LATER_ROUNDS = 10
 
 
@@ -59,3 +64,108 @@
         assert sound.count(200) >= LATER_ROUNDS / 2
 
     world.bench.run(body)
+
+
+def _identity(body: bytes) -> str:
+    """Return the identity of a lookup."""
+    return request_identity.identity(
+        request_identity.RequestContent(
+            'gravier',
+            documents.HOST,
+            'POST',
+            crashing_world.LOOK.path,
+            body,
+        )
+    )
+
+
+async def _make_trial_due(world: crashing_world.World, body: bytes) -> None:
+    """Quarantine a lookup at all entries, so that a trial may be made."""
+    suspect = _identity(body)
+    row = quarantine.QuarantinedPart(suspect, 0)
+    world.bench.store.put(keys.quarantined(suspect), msgspec.json.encode(row))
+    await world.bench.wait_until(
+        lambda: all(
+            suspect in process.entry.crashes.quarantined.holds
+            for process in world.entries
+        )
+    )
+
+
+async def _send_copies(world: crashing_world.World, body: bytes) -> list[int]:
+    """Send copies of a lookup to all entries at once; return the statuses."""
+
+    async def send() -> int:
+        return await world.send(body=body)
+
+    tasks = [await curio.spawn(send) for _ in range(COPIES)]
+    return [await task.join() for task in tasks]
+
+
+def test_callers_of_a_found_request_are_refused_for_a_minute_not_ten() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        answer = await running.call('/look/', body=CRASHING_BODY)
+        while answer.status != 503 or b'quarantined' not in answer.body:
+            await curio.sleep(crashing_world.RESTART_S)
+            answer = await running.call('/look/', body=CRASHING_BODY)
+        retry_after_s = float(dict(answer.headers)['retry-after'])
+        assert retry_after_s <= MAX_REFUSAL_S
+
+    world.bench.run(body)
+
+
+def test_one_copy_in_the_whole_fleet_is_the_trial_of_a_request() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        await _make_trial_due(world, CRASHING_BODY)
+        statuses = await _send_copies(world, CRASHING_BODY)
+        statuses += await _send_copies(world, CRASHING_BODY)
+        assert world.arrivals == 1
+        assert statuses.count(502) == 1
+        assert statuses.count(503) == 2 * COPIES - 1
+        row = running.store.rows[keys.quarantined(_identity(CRASHING_BODY))]
+        written = msgspec.json.decode(
+            row.content, type=quarantine.QuarantinedPart
+        )
+        assert written.trials == 1
+        assert written.remaining_s == quarantine.trial_delay_s(1)
+
+    world.bench.run(body)
+
+
+def test_an_answered_trial_ends_a_false_quarantine_at_all_entries() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        await _make_trial_due(world, b'sound')
+        assert await world.send(body=b'sound') == 200
+        await running.wait_until(
+            lambda: (
+                not any(
+                    process.entry.crashes.quarantined.holds
+                    for process in world.entries
+                )
+            )
+        )
+        assert set(await _send_copies(world, b'sound')) == {200}
+
+    world.bench.run(body)
+
+
+def test_no_trial_is_made_while_the_store_does_not_answer() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        await _make_trial_due(world, CRASHING_BODY)
+        running.store.faults.refuses = True
+        assert set(await _send_copies(world, CRASHING_BODY)) == {503}
+        assert not world.arrivals
+
+    world.bench.run(body)
