--- a/packages/core/src/camphorstair_core/fleet/endpoint_terms.py
+++ b/packages/core/src/camphorstair_core/fleet/endpoint_terms.py
@@ -77,9 +77,14 @@
     )
 
 
+def wants_nothing(terms: Terms, now_s: float) -> bool:
+    """Return whether the endpoint wants no requests of this entry now."""
+    return terms.leaving or now_s < terms.resume_s
+
+
 def may_send(terms: Terms, now_s: float) -> bool:
     """Return whether this entry may send the endpoint a request now."""
-    if terms.leaving or now_s < terms.resume_s:
+    if wants_nothing(terms, now_s):
         return False
     return request_limits.may_send(terms.limit, now_s)
 
--- a/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
+++ b/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
@@ -41,7 +41,19 @@
         call.verdict = verdicts.worst(call.verdict, failure.verdict)
         if failure.misdirected:
             roster.mark_address_taken(self.entry.endpoints, candidate.endpoint)
-        if not attempt.left and not failure.timed_out():
+        if failure.withdrawn:
+            _LOG.info(
+                'attempt withdrawn: %s',
+                failure,
+                extra={
+                    'request': call.caller_headers.attempt,
+                    'endpoint': candidate.endpoint.registration.endpoint,
+                    'attempt_s': round(
+                        clocks.monotonic_s() - attempt.began_s, 3
+                    ),
+                },
+            )
+        elif not attempt.left and not failure.timed_out():
             self._record_failure(attempt, str(failure), failure.verdict)
 
     def record_unanswered(self, attempt: attempts.Attempt) -> None:
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -13,7 +13,11 @@
     stream_relaying,
 )
 from camphorstair_core import errors, verdicts
-from camphorstair_core.fleet import crash_reports, placement
+from camphorstair_core.fleet import (
+    crash_reports,
+    endpoint_terms,
+    placement,
+)
 from camphorstair_platform import headers
 from camphorstair_runtime import (
     clocks,
@@ -34,6 +38,8 @@
         if no further attempt is made; None if there is none.
     :ivar sent: Whether anything was sent to the endpoint.
     :ivar misdirected: Whether a different endpoint answered at the address.
+    :ivar withdrawn: Whether the entry has withdrawn the request before it was
+        sent, so that the endpoint is not at fault.
     :ivar suspect: Whether the request may have crashed the engine.
     """
 
@@ -45,6 +51,7 @@
         answer: http_messages.Response | None = None,
         sent: bool = True,
         misdirected: bool = False,
+        withdrawn: bool = False,
     ) -> None:
         """Store the message and the outcome of the attempt."""
         super().__init__(message)
@@ -52,6 +59,7 @@
         self.answer = answer
         self.sent = sent
         self.misdirected = misdirected
+        self.withdrawn = withdrawn
         self.suspect = False
 
     def timed_out(self) -> bool:
@@ -115,6 +123,7 @@
         self.exchange = exchange
         idle_s: float | None = 0
         try:
+            self._check_wanted()
             answer = await self._send_request(exchange, registration.endpoint)
             await self._relay_answer(exchange, answer)
             idle_s = answer.idle_timeout_s
@@ -133,6 +142,28 @@
             self.left = True
             closing.stop_reading(self.exchange.sock)
 
+    def _check_wanted(self) -> None:
+        """Withdraw the request if it must not be sent any more.
+
+        While the connection was opened, the endpoint may have said that it
+        wants no requests, or the request may have been found to crash
+        endpoints.
+
+        :raises AttemptError: if so.
+        """
+        now_s = clocks.monotonic_s()
+        if endpoint_terms.wants_nothing(self.candidate.terms, now_s):
+            reason = 'the endpoint wants no requests any more'
+        elif self.entry.crashes.quarantined.find(
+            self.call.waiter.untried(), now_s
+        ):
+            reason = 'the request was quarantined'
+        else:
+            return
+        raise AttemptError(
+            reason, verdicts.Verdict.not_run, sent=False, withdrawn=True
+        )
+
     async def _connect(self, address: str) -> http_client.Exchange:
         """Return a connection to the endpoint.
 
--- a/tests/test_fleet_not_before.py
+++ b/tests/test_fleet_not_before.py
@@ -1,20 +1,23 @@
 """Tests of endpoints that refuse requests for some time with Retry-After."""
 
 import http
+from collections import abc
 
 import attrs
 import curio
 import fleet_bench
 import pytest
 
-from camphorstair.fleet import answer_reports
-from camphorstair_platform_standins import scripted
-from camphorstair_runtime import clocks, http_messages
+from camphorstair.fleet import answer_reports, connections
+from camphorstair_platform_standins import exchange_headers, scripted
+from camphorstair_runtime import clocks, http_client, http_messages
 
 Script = scripted.Script
 RETRY_AFTER = 'retry-after'
 HOLD_S = 1.5
 INTERVAL_S = 0.05
+# As many requests as an endpoint runs concurrently.
+SLOTS = 4
 FINAL_ANSWER_LIMIT_S = 0.5
 
 
@@ -67,6 +70,58 @@
     bench.run(body)
 
 
+@attrs.define(eq=False)
+class SlowConnections:
+    """Connections to endpoints that are not open before ``opened`` is set.
+
+    :ivar connect: Opens a connection.
+    :ivar waiting: Number of connections that are not open yet.
+    """
+
+    connect: abc.Callable[[str], abc.Awaitable[http_client.Exchange]]
+    opened: curio.Event = attrs.field(factory=curio.Event)
+    waiting: int = 0
+
+    async def open(self, address: str) -> http_client.Exchange:
+        """Open a connection."""
+        self.waiting += 1
+        await self.opened.wait()
+        self.waiting -= 1
+        return await self.connect(address)
+
+
+@pytest.mark.parametrize(
+    'says', [(RETRY_AFTER, str(HOLD_S)), exchange_headers.LEAVING]
+)
+def test_a_request_is_not_sent_when_its_connection_opens_after_the_refusal(
+    bench: fleet_bench.FleetBench,
+    monkeypatch: pytest.MonkeyPatch,
+    says: tuple[str, str],
+) -> None:
+    slow = SlowConnections(connections.connect)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        refusing = await running.add_endpoint(
+            'i-1', 'plain', Script(status=503, not_run=True, says=(says,))
+        )
+        with monkeypatch.context() as patched:
+            patched.setattr(connections, 'connect', slow.open)
+            tasks = [
+                await curio.spawn(running.call, '/book/', f'b{number}')
+                for number in range(SLOTS - 1)
+            ]
+            await running.wait_until(lambda: slow.waiting == SLOTS - 1)
+        await _hear_refusal(running, 'i-1')
+        await slow.opened.set()
+        answers = [await task.join() for task in tasks]
+        assert {answer.status for answer in answers} == {503}
+        assert len(refusing.arrivals) == 1
+        health = running.entry.candidates['i-1'].health
+        assert health.failures <= 1
+
+    bench.run(body)
+
+
 def test_callers_hear_the_shortest_of_the_times_that_all_endpoints_named(
     bench: fleet_bench.FleetBench,
 ) -> None:
