--- a/packages/agent/src/camphorstair_agent/fleet/leading.py
+++ b/packages/agent/src/camphorstair_agent/fleet/leading.py
@@ -14,6 +14,7 @@
 
 from camphorstair_agent.fleet import (
     map_planning,
+    order_crashes,
     rank_calls,
     spread_calls,
     state,
@@ -45,6 +46,7 @@
     :ivar spread: Client of all ranks of the group for large messages.
     :ivar leadership: The planner lease.
     :ivar membership: The group and rank of the engine on this VM.
+    :ivar crashes: Keeps orders that crash engines from being given again.
     :ivar maps: Plans new maps.
     :ivar current: The map that the group is being switched to, if any.
     :ivar held: The holds that the last round saw.
@@ -52,6 +54,7 @@
     :ivar pace: How fast the group makes steps and how long switches take.
     :ivar unreliable_deadline_s: Until when orders count as unreliable;
         monotonic clock.
+    :ivar unanswered: Orders without an answer since the last round.
     """
 
     agent: state.FleetAgent
@@ -59,12 +62,14 @@
     spread: spread_calls.SpreadCalls
     leadership: leasing.Leadership
     membership: roster.GroupMembership
+    crashes: order_crashes.OrderCrashes
     maps: map_planning.MapPlanner
     current: map_planning.MapPlan | None = None
     held: group_orders.Holds = frozenset()
     hold_sent_s: float = 0
     pace: step_margins.GroupPace = attrs.field(factory=step_margins.GroupPace)
     unreliable_deadline_s: float = 0
+    unanswered: rank_calls.Orders = attrs.field(factory=list)
 
     async def run(self) -> None:
         """Run rounds until the lease is lost.
@@ -84,28 +89,56 @@
         :returns: The time until the next round, in seconds.
         """
         states = await self.calls.states(ranks)
+        await self._check_unanswered(states, ranks)
         if len(states) < len(ranks):
             return self._idle_interval_s()
         reports = _reports(states)
-        self._record_progress(reports)
+        await self._record_progress(reports)
         held_before = self.held
         self.held = group_orders.holds(reports)
         if self.held:
             await self._continue_held_group(states, ranks, held_before)
             return ORDER_INTERVAL_S
         if self.current is None:
-            self.current = await self.maps.plan(ranks, states)
+            self.current = await self._plan(ranks, states)
         if self.current is None:
             return self._idle_interval_s()
         return await self._advance_switch(reports, ranks)
 
+    async def _plan(
+        self, ranks: rank_calls.Ranks, states: rank_calls.States
+    ) -> map_planning.MapPlan | None:
+        """Return a new map, or None if there is none to switch to now."""
+        group = self.membership.group
+        if not self.crashes.may_begin_switch(group):
+            return None
+        planned = await self.maps.plan(ranks, states)
+        if planned is not None:
+            self.crashes.note_begun(group)
+        return planned
+
+    async def _check_unanswered(
+        self, states: rank_calls.States, ranks: rank_calls.Ranks
+    ) -> None:
+        """Find out whether orders without an answer have crashed engines.
+
+        Ranks that report their state have not crashed. The others are checked
+        in a task of its own, as a group that is held must not wait for it.
+        """
+        silent = [
+            order for order in self.unanswered if order.rank not in states
+        ]
+        self.unanswered.clear()
+        if silent:
+            await curio.spawn(self.crashes.check, silent, ranks, daemon=True)
+
     def _idle_interval_s(self) -> float:
         """Return the time between rounds, longer for the more ranks to read."""
         return max(
             IDLE_INTERVAL_S, IDLE_INTERVAL_PER_RANK_S * self.membership.size
         )
 
-    def _record_progress(self, reports: group_orders.Reports) -> None:
+    async def _record_progress(self, reports: group_orders.Reports) -> None:
         """Note the group's pace; end or discard the current switch."""
         epoch = max(report.epoch for report in reports.values())
         if epoch != self.maps.epoch:
@@ -123,6 +156,7 @@
             )
             self.maps.in_use = current
             self.current = None
+            await self.crashes.note_completed(self.membership.group)
 
     async def _continue_held_group(
         self,
@@ -181,7 +215,7 @@
         hold = orders[0]
         status = await self.calls.hold(hold, ranks[hold.rank], self.maps.epoch)
         if not status:
-            self._record_unreliable()
+            self._record_unanswered([hold])
         return 0
 
     def _step_margin(self) -> int:
@@ -207,8 +241,9 @@
         for order in due:
             if order.rank not in answered:
                 current.prepare_sent_s.pop(order.rank, None)
-        if len(answered) < len(due):
-            self._record_unreliable()
+        unanswered = [sent for sent in due if sent.rank not in answered]
+        if unanswered:
+            self._record_unanswered(unanswered)
 
     async def _send_orders(
         self, orders: rank_calls.Orders, ranks: rank_calls.Ranks
@@ -217,12 +252,14 @@
         if not self.leadership.held():
             return {}
         after = await self.calls.arm_or_release(orders, ranks, self.maps.epoch)
-        if len(after) < len(orders):
-            self._record_unreliable()
+        unanswered = [order for order in orders if order.rank not in after]
+        if unanswered:
+            self._record_unanswered(unanswered)
         return after
 
-    def _record_unreliable(self) -> None:
-        """Count orders as unreliable for a while after one had no response."""
+    def _record_unanswered(self, orders: rank_calls.Orders) -> None:
+        """Count orders as unreliable for a while after some had no response."""
+        self.unanswered.extend(orders)
         self.unreliable_deadline_s = clocks.monotonic_s() + UNRELIABLE_ORDERS_S
 
 
--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -14,6 +14,7 @@
 from camphorstair_core import vms
 from camphorstair_core.fleet import membership, store_copy
 from camphorstair_fleet import (
+    crash_rows,
     keys,
     mirroring,
     restored_keys,
@@ -115,6 +116,10 @@
             self._apply_planner(row)
         elif row.key.startswith(keys.MEMBERS_PREFIX):
             self._apply_member(row)
+        elif row.key.startswith(keys.CRASHES_PREFIX):
+            crash_rows.apply_reports(
+                self.agent.crashes, self.agent.settings.name, row
+            )
 
     def _apply_endpoint(self, row: store_copy.Item) -> None:
         """Apply a change of an endpoint's registration.
--- a/packages/agent/src/camphorstair_agent/fleet/planning.py
+++ b/packages/agent/src/camphorstair_agent/fleet/planning.py
@@ -8,6 +8,7 @@
 from camphorstair_agent.fleet import (
     leading,
     map_planning,
+    order_crashes,
     rank_calls,
     spread_calls,
     state,
@@ -34,11 +35,13 @@
     :ivar agent: The agent's state.
     :ivar client: Client of the store, which holds the lease.
     :ivar calls: Client of the ranks of the group.
+    :ivar crashes: Keeps orders that crash engines from being given again.
     """
 
     agent: state.FleetAgent
     client: store.StoreClient
     calls: rank_calls.RankCalls
+    crashes: order_crashes.OrderCrashes
 
     async def run(self) -> None:
         """Until cancelled, try to acquire the lease; plan while it is held."""
@@ -74,6 +77,7 @@
             spread,
             leadership,
             membership,
+            self.crashes,
             map_planning.MapPlanner(
                 self.agent.meters, spread, leadership, planner
             ),
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -11,6 +11,7 @@
     gauges,
     instruments,
     listing,
+    order_crashes,
     planning,
     rank_calls,
     rank_datagrams,
@@ -58,6 +59,7 @@
     follower = listing.StoreFollower(agent, client)
     datagrams = rank_datagrams.DatagramCaller(told.address)
     calls = rank_calls.RankCalls(agent, datagrams)
+    crashes = order_crashes.OrderCrashes(agent, client)
     load_reporter = sensing.LoadReporter(
         agent, engine_calls.EngineCalls(told.engine_address)
     )
@@ -66,7 +68,7 @@
         follower.run_services,
         load_reporter.run,
         datagrams.run,
-        planning.PlannerCandidate(agent, client, calls).run,
+        planning.PlannerCandidate(agent, client, calls, crashes).run,
         rescuing.HoldWatchdog(agent, calls).run,
     ]
 
--- a/packages/agent/src/camphorstair_agent/fleet/state.py
+++ b/packages/agent/src/camphorstair_agent/fleet/state.py
@@ -6,6 +6,7 @@
 from camphorstair_core.fleet import (
     catalogue,
     content_age,
+    crash_reports,
     membership,
     roster,
     subsetting,
@@ -23,6 +24,7 @@
     :ivar members: The serving entries by name.
     :ivar services: The configured services by name.
     :ivar planners: Name of the VM that holds the planner lease, by rank group.
+    :ivar crashes: The crashes that entries and agents have reported.
     :ivar report: The last report of the engine on this VM; None if the last
         attempt to read it failed.
     :ivar freshness: When the lists were last confirmed by the store.
@@ -34,6 +36,9 @@
     members: dict[str, membership.Member] = attrs.field(factory=dict)
     services: dict[str, catalogue.Service] = attrs.field(factory=dict)
     planners: dict[str, str] = attrs.field(factory=dict)
+    crashes: crash_reports.CrashHistory = attrs.field(
+        factory=crash_reports.CrashHistory
+    )
     report: engines.EngineReport | None = None
     freshness: content_age.ContentAge = attrs.field(
         factory=content_age.ContentAge
--- a/packages/core/src/camphorstair_core/fleet/answered_parts.py
+++ b/packages/core/src/camphorstair_core/fleet/answered_parts.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from camphorstair_core.fleet import request_identity
+from camphorstair_core.fleet import suspect_kinds
 
 # Parts that one entry remembers. Prompts of the same kind share most of theirs.
 MAX_PARTS = 20_000
@@ -66,7 +66,7 @@
         return answered.last_s if answered else None
 
     def _known(self, suspect: str) -> dict[str, AnsweredPart]:
-        if request_identity.is_identity(suspect):
+        if suspect_kinds.is_request(suspect):
             return self.by_request
         return self.by_part
 
--- a/packages/core/src/camphorstair_core/fleet/crash_culprits.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_culprits.py
@@ -8,7 +8,7 @@
 from camphorstair_core.fleet import (
     crash_incidents,
     crash_reports,
-    request_identity,
+    suspect_kinds,
 )
 
 # Incidents in which a suspect must be suspected. A request needs only one if it
@@ -90,7 +90,7 @@
     most = max(eligible.values(), default=0)
     likely = [suspect for suspect, count in eligible.items() if count == most]
     requests = [
-        suspect for suspect in likely if request_identity.is_identity(suspect)
+        suspect for suspect in likely if suspect_kinds.is_request(suspect)
     ]
     likely = requests or likely
     fewest_answers = min(map(popularity, likely), default=0)
--- a/packages/core/src/camphorstair_core/fleet/crash_reports.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_reports.py
@@ -96,6 +96,11 @@
     repeated: tuple[str, ...] = ()
 
 
+def crash_name(endpoint: str, born_ms: int) -> str:
+    """Return what identifies an endpoint's process that crashed."""
+    return f'{endpoint}@{born_ms}'
+
+
 def add_report(
     history: CrashHistory,
     entry: str,
--- a/packages/core/src/camphorstair_core/fleet/request_identity.py
+++ b/packages/core/src/camphorstair_core/fleet/request_identity.py
@@ -8,11 +8,10 @@
 
 import attrs
 
+from camphorstair_core.fleet import suspect_kinds
+
 # Bytes of a digest.
 DIGEST_BYTES = 8
-# Distinguishes identities from the identifiers of prompt parts, which have
-# letters and digits only.
-PREFIX = 'request-'
 
 
 @attrs.frozen
@@ -33,11 +32,6 @@
     body: bytes
 
 
-def is_identity(suspect: str) -> bool:
-    """Return whether a suspect is a request, rather than a prompt part."""
-    return suspect.startswith(PREFIX)
-
-
 def identity(content: RequestContent) -> str:
     """Return an identifier that all copies of a request share."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -46,4 +40,4 @@
         digest.update(b'%d:' % len(encoded))
         digest.update(encoded)
     digest.update(content.body)
-    return f'{PREFIX}{digest.hexdigest()}'
+    return suspect_kinds.request(digest.hexdigest())
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -18,6 +18,7 @@
     crash_incidents,
     crash_reports,
     quarantine,
+    suspect_kinds,
 )
 from camphorstair_fleet import keys
 from camphorstair_platform import fields, store, store_errors
@@ -149,13 +150,18 @@
         return not answered
 
     async def _conclude(self) -> None:
-        """Quarantine what was found to crash endpoints."""
+        """Quarantine what was found to crash endpoints.
+
+        Orders are up to the agents that give them.
+        """
         history = self.entry.crashes.history
         found = crash_culprits.culprits(
             history, self.entry.crashes.answered.count
         )
         for culprit in found:
-            self._quarantine(culprit)
+            kind = suspect_kinds.kind_of(culprit.part)
+            if kind is not suspect_kinds.SuspectKind.order:
+                self._quarantine(culprit)
         if found:
             await self.dispatcher.serve_queues()
 
@@ -172,7 +178,7 @@
         crashes.quarantined.add(culprit.part, delay_s, now_s)
         _LOG.warning(
             '%s quarantined',
-            quarantining.kind(culprit.part),
+            suspect_kinds.kind_of(culprit.part).value,
             extra={
                 'part': culprit.part,
                 'delay_s': delay_s,
@@ -215,35 +221,3 @@
         clocks.monotonic_s(),
     )
     await entry.crashes.news.set()
-
-
-def apply_reports(
-    entry: state.FleetEntry,
-    reporter: str,
-    content: bytes | None,
-) -> None:
-    """Apply the reports that an entry has written.
-
-    Reports that are gone from the store count until they expire. An entry's
-    own reports come from its earlier process, or say less than it knows.
-
-    :param reporter: Name of the entry that has written them.
-    :param content: The value of its key; None if the key was removed.
-    :raises fields.FormatError: if the value can't be decoded.
-    """
-    if content is None:
-        return
-    history = entry.crashes.history
-    is_own = reporter == entry.settings.name
-    try:
-        reports = msgspec.json.decode(
-            content, type=tuple[crash_reports.CrashReport, ...]
-        )
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid reports: {error}') from error
-    for report in reports:
-        if is_own and crash_reports.has_report(history, reporter, report.crash):
-            continue
-        crash_reports.add_report(
-            history, reporter, report, clocks.monotonic_s()
-        )
--- a/packages/entry/src/camphorstair/fleet/crash_state.py
+++ b/packages/entry/src/camphorstair/fleet/crash_state.py
@@ -3,8 +3,8 @@
 import attrs
 import curio
 
-from camphorstair.fleet import crash_checks
 from camphorstair_core.fleet import answered_parts, crash_reports, quarantine
+from camphorstair_fleet import crash_checks
 
 
 @attrs.define(eq=False)
--- a/packages/entry/src/camphorstair/fleet/crash_suspects.py
+++ b/packages/entry/src/camphorstair/fleet/crash_suspects.py
@@ -30,7 +30,9 @@
     registration = attempt.candidate.endpoint.registration
     if not await entry.crashes.checks.has_ended(registration.address):
         return False
-    crash = f'{registration.endpoint}@{registration.born_ms}'
+    crash = crash_reports.crash_name(
+        registration.endpoint, registration.born_ms
+    )
     entry.meters.crashes.add(1)
     _LOG.warning(
         'the endpoint crashed before it answered',
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -12,8 +12,8 @@
     endpoint_terms,
     placement,
     quarantine,
-    request_identity,
     roster,
+    suspect_kinds,
     waiting,
 )
 from camphorstair_runtime import clocks
@@ -290,7 +290,7 @@
     found: quarantine.QuarantinedPart,
 ) -> errors.RequestError:
     retry_after_s = max(found.remaining_s, REOPEN_RETRY_AFTER_S)
-    if request_identity.is_identity(found.part):
+    if suspect_kinds.is_request(found.part):
         return errors.RequestError(
             errors.request_quarantined,
             f'endpoints crash under this request, {found.part}',
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -9,12 +9,7 @@
 import attrs
 import msgspec
 
-from camphorstair.fleet import (
-    crash_reporting,
-    dispatch,
-    quarantining,
-    state,
-)
+from camphorstair.fleet import dispatch, quarantining, state
 from camphorstair_core import vms
 from camphorstair_core.fleet import (
     membership,
@@ -23,6 +18,7 @@
     subsetting,
 )
 from camphorstair_fleet import (
+    crash_rows,
     keys,
     mirroring,
     restored_keys,
@@ -136,8 +132,9 @@
     def _apply_crash_news(self, item: store_copy.Item) -> None:
         """Apply reports of crashes or a change of the quarantined parts."""
         if item.key.startswith(keys.CRASHES_PREFIX):
-            reporter = item.key.removeprefix(keys.CRASHES_PREFIX)
-            crash_reporting.apply_reports(self.entry, reporter, item.content)
+            crash_rows.apply_reports(
+                self.entry.crashes.history, self.entry.settings.name, item
+            )
         elif item.key.startswith(keys.QUARANTINE_PREFIX):
             quarantining.apply_key(self.entry, item, self.mirror.known.era)
 
--- a/packages/entry/src/camphorstair/fleet/quarantining.py
+++ b/packages/entry/src/camphorstair/fleet/quarantining.py
@@ -13,8 +13,8 @@
 from camphorstair_core.fleet import (
     crash_reports,
     quarantine,
-    request_identity,
     store_copy,
+    suspect_kinds,
 )
 from camphorstair_fleet import keys
 from camphorstair_platform import fields, store, store_errors
@@ -75,7 +75,7 @@
             hold.end_s = now_s + quarantine.QUARANTINE_S
         _LOG.info(
             'trial of a quarantined %s %s',
-            kind(suspect),
+            suspect_kinds.kind_of(suspect).value,
             'claimed' if claimed else 'not claimed',
             extra={'part': suspect, 'request': request, 'trials': trials},
         )
@@ -145,18 +145,12 @@
         _release(crashes, suspect, hold)
     _LOG.info(
         'quarantine of a %s %s',
-        kind(suspect),
+        suspect_kinds.kind_of(suspect).value,
         'removed' if item.content is None else 'read',
         extra={'part': suspect, 'era': era},
     )
 
 
-def kind(suspect: str) -> str:
-    """Return what a suspect is, for the log."""
-    is_request = request_identity.is_identity(suspect)
-    return 'request' if is_request else 'prompt part'
-
-
 def _release(
     crashes: crash_state.CrashState, suspect: str, hold: quarantine.Hold
 ) -> None:
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -6,7 +6,7 @@
 import pytest
 
 from camphorstair.fleet import crash_reporting, serving
-from camphorstair_core.fleet import crash_reports
+from camphorstair_core.fleet import crash_reports, suspect_kinds
 from camphorstair_fleet import keys
 
 SUSPECT = 'request-1'
@@ -80,3 +80,22 @@
         await running.wait_until(lambda: QUARANTINE_KEY in running.store.rows)
 
     bench.run(body)
+
+
+def test_entries_leave_orders_that_crash_engines_to_the_agents(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        orders = (suspect_kinds.order('prepare', 'g'),)
+        for crash in ('i-1@0', 'i-2@0'):
+            reports = (crash_reports.CrashReport(crash, orders),)
+            running.store.put(
+                keys.crash_reports('side-1'), msgspec.json.encode(reports)
+            )
+            await curio.sleep(OUTAGE_S)
+        await _report(running.process, 'i-3@0')
+        holds = running.entry.crashes.quarantined.holds
+        await running.wait_until(lambda: holds)
+        assert list(holds) == [SUSPECT]
+
+    bench.run(body)
--- /dev/null
+++ b/tests/test_fleet_order_crashes.py
@@ -0,0 +1,285 @@
+"""Tests of orders under which the engines of a rank group crash."""
+
+import typing
+
+import attrs
+import curio
+import fleet_bench
+import pytest
+from opentelemetry import metrics as metrics_api
+
+from camphorstair_agent.fleet import (
+    instruments,
+    leading,
+    map_planning,
+    order_crashes,
+    rank_calls,
+    state,
+)
+from camphorstair_core.experts import group_orders
+from camphorstair_core.fleet import (
+    crash_incidents,
+    crash_reports,
+    quarantine,
+    roster,
+    store_copy,
+    suspect_kinds,
+)
+from camphorstair_fleet import crash_rows, internal_messages, keys
+from camphorstair_platform import boot, store
+from camphorstair_runtime import clocks, http_messages, http_server
+from camphorstair_standins import loopback
+
+GROUP = 'g'
+SIZE = 2
+SUSPECT = suspect_kinds.order('prepare', GROUP)
+INCIDENT_S = 0.05
+PREPARE = group_orders.Order(0, group_orders.OrderKind.prepare, 1)
+RUN_S = 2.0
+# Two crashes show it; one more may happen before they are known.
+MAX_PREPARES = 3
+
+
+def _registration(rank: int, address: str, born_ms: int) -> roster.Registration:
+    return roster.Registration(
+        f'i-{rank}',
+        'engine',
+        address,
+        'levis-nord',
+        roster.EndpointState.ready,
+        4,
+        0,
+        born_ms,
+        roster.GroupMembership(GROUP, 1, rank, SIZE, is_open=True),
+    )
+
+
+def _agent(told: boot.BootSettings) -> state.FleetAgent:
+    meter = metrics_api.NoOpMeter('test')
+    return state.FleetAgent(told, instruments.create(meter))
+
+
+def _crashes(running: fleet_bench.FleetBench) -> order_crashes.OrderCrashes:
+    """Return what a newly started agent knows, with the store's reports."""
+    agent = _agent(running.told)
+    for name, row in running.store.rows.items():
+        if name.startswith(keys.CRASHES_PREFIX):
+            item = store_copy.Item(name, row.content, 1)
+            crash_rows.apply_reports(agent.crashes, 'other', item)
+    client = store.StoreClient(running.told.store.address)
+    return order_crashes.OrderCrashes(agent, client)
+
+
+async def _crash_twice(crashes: order_crashes.OrderCrashes) -> None:
+    """Let two engines end under an order, one after the other."""
+    for born_ms in range(2):
+        ended = _registration(0, loopback.free_address(), born_ms)
+        await crashes.check([PREPARE], {0: ended})
+        await curio.sleep(2 * INCIDENT_S)
+
+
+@attrs.define(eq=False)
+class CrashingGroup:
+    """A group whose first rank ends under each order to prepare a map.
+
+    :ivar agent: The planner's agent, which knows the ranks.
+    :ivar epoch: Number of its formations.
+    :ivar ended: Whether the first rank has ended and not started again.
+    :ivar prepares: Number of orders to prepare that it has had.
+    """
+
+    agent: state.FleetAgent
+    epoch: int = 1
+    ended: bool = False
+    prepares: int = 0
+
+    async def states(self, ranks: rank_calls.Ranks) -> rank_calls.States:
+        """Return the states of the ranks; the group forms again meanwhile."""
+        await curio.sleep(2 * INCIDENT_S)
+        found = {
+            rank: internal_messages.RankState(
+                group_orders.RankReport(self.epoch, 1, 0, 0)
+            )
+            for rank in ranks
+            if rank or not self.ended
+        }
+        if self.ended:
+            self.ended = False
+            self.epoch += 1
+            self.register()
+        return found
+
+    def register(self) -> None:
+        """Register the ranks' engines anew."""
+        for rank in range(SIZE):
+            address = loopback.free_address()
+            row = _registration(rank, address, self.epoch)
+            self.agent.endpoints[row.endpoint] = row
+
+    async def prepare(
+        self, orders: rank_calls.Orders, *_details: object
+    ) -> set[int]:
+        """Send the order; nobody answers."""
+        self.prepares += 1
+        self.ended = True
+        return set()
+
+
+@attrs.define(eq=False)
+class EagerPlanner:
+    """Plans another map whenever it is asked.
+
+    :ivar epoch: The group's formation.
+    :ivar in_use: The map in use.
+    :ivar planned: Number of maps planned.
+    """
+
+    epoch: int = 1
+    in_use: map_planning.MapPlan | None = None
+    planned: int = 0
+
+    async def plan(self, *_known: object) -> map_planning.MapPlan:
+        """Return a new map."""
+        self.planned += 1
+        return map_planning.MapPlan(self.planned, ())
+
+
+@attrs.frozen
+class Held:
+    """A planner lease that is held."""
+
+    def held(self) -> bool:
+        """Return whether it is held."""
+        return True
+
+
+@pytest.fixture(autouse=True)
+def _short_incidents(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(crash_incidents, 'INCIDENT_S', INCIDENT_S)
+
+
+@pytest.fixture
+def bench() -> fleet_bench.FleetBench:
+    return fleet_bench.FleetBench()
+
+
+def test_an_order_that_crashes_engines_is_not_given_with_each_formation(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        group: typing.Any = CrashingGroup(crashes.agent)
+        group.register()
+        planner: typing.Any = EagerPlanner()
+        lease: typing.Any = Held()
+        leader = leading.Leader(
+            crashes.agent,
+            group,
+            group,
+            lease,
+            roster.GroupMembership(GROUP, 1, 0, SIZE, is_open=True),
+            crashes,
+            planner,
+        )
+        running_leader = await curio.spawn(leader.run)
+        await curio.sleep(RUN_S)
+        await running_leader.cancel()
+        assert group.epoch > 1
+        assert group.prepares <= MAX_PREPARES
+
+    bench.run(body)
+
+
+def test_the_next_planner_knows_the_orders_that_crash_engines(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        await _crash_twice(crashes)
+        assert not crashes.may_begin_switch(GROUP)
+        assert crashes.may_begin_switch('other')
+        row = running.store.rows[keys.crash_reports(running.told.name)]
+        assert SUSPECT.encode() in row.content
+        successor = _crashes(running)
+        await curio.sleep(2 * INCIDENT_S)
+        ended = _registration(0, loopback.free_address(), 9)
+        await successor.check([PREPARE], {0: ended})
+        assert not successor.may_begin_switch(GROUP)
+
+    bench.run(body)
+
+
+def test_an_order_without_an_answer_from_a_live_engine_is_no_suspect(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def serve(
+        _request: http_messages.Request, _responder: http_server.Responder
+    ) -> None:
+        await curio.Event().wait()
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        address = loopback.free_address()
+        await running.listen(address, serve)
+        await crashes.check([PREPARE], {0: _registration(0, address, 1)})
+        assert not crashes.agent.crashes.crashes
+
+    bench.run(body)
+
+
+def test_a_request_that_explains_the_crashes_is_blamed_before_an_order(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        for born_ms in range(2):
+            crash_reports.add_suspects(
+                crashes.agent.crashes,
+                'front-1',
+                crash_reports.crash_name('i-0', born_ms),
+                crash_reports.Suspicion(('request-1',)),
+                clocks.monotonic_s(),
+            )
+            ended = _registration(0, loopback.free_address(), born_ms)
+            await crashes.check([PREPARE], {0: ended})
+            await curio.sleep(2 * INCIDENT_S)
+        assert crashes.may_begin_switch(GROUP)
+
+    bench.run(body)
+
+
+async def _make_trial_due(crashes: order_crashes.OrderCrashes) -> None:
+    """Let engines crash under an order, and the time until a trial pass."""
+    await _crash_twice(crashes)
+    assert not crashes.may_begin_switch(GROUP)
+    crashes.quarantined.holds[SUSPECT].trial_s = clocks.monotonic_s()
+    assert crashes.may_begin_switch(GROUP)
+
+
+def test_one_switch_is_the_trial_of_a_quarantined_order(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        await _make_trial_due(crashes)
+        crashes.note_begun(GROUP)
+        assert not crashes.may_begin_switch(GROUP)
+        found = crashes.quarantined.find([SUSPECT], clocks.monotonic_s())
+        assert found is not None
+        assert found.remaining_s > quarantine.trial_delay_s(1) - 1
+
+    bench.run(body)
+
+
+def test_a_completed_switch_ends_the_quarantine_of_its_orders(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        await _make_trial_due(crashes)
+        crashes.note_begun(GROUP)
+        await crashes.note_completed(GROUP)
+        assert crashes.may_begin_switch(GROUP)
+        assert _crashes(running).may_begin_switch(GROUP)
+
+    bench.run(body)
