--- a/packages/core/src/camphorstair_core/fleet/roster.py
+++ b/packages/core/src/camphorstair_core/fleet/roster.py
@@ -89,14 +89,15 @@
 
     :ivar endpoints: The endpoints by identifier.
     :ivar out: Data centres whose endpoints receive no new requests.
-    :ivar by_address: The endpoint that registered last, by ``IP:port``.
+    :ivar by_address: The endpoints by ``IP:port`` and name. After a restart the
+        registration of the process before may still exist.
     :ivar by_service: The endpoints of each service by identifier.
     :ivar changes: Number of endpoints added, replaced or removed so far.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
     out: set[str] = attrs.field(factory=set)
-    by_address: dict[str, Endpoint] = attrs.field(factory=dict)
+    by_address: dict[str, dict[str, Endpoint]] = attrs.field(factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = attrs.field(factory=dict)
     changes: int = 0
 
@@ -168,6 +169,20 @@
     return gone
 
 
+def at_address(roster: Roster, address: str) -> Endpoint | None:
+    """Return the endpoint at an address, the one that started last.
+
+    :param roster: The roster.
+    :param address: ``IP:port``.
+    :returns: None if none is registered there.
+    """
+    return max(
+        roster.by_address.get(address, {}).values(),
+        key=lambda endpoint: endpoint.registration.born_ms,
+        default=None,
+    )
+
+
 def usable(roster: Roster, service: str) -> list[Endpoint]:
     """Return the endpoints of a service that accept new requests."""
     return [
@@ -238,7 +253,7 @@
     registration = endpoint.registration
     name = registration.endpoint
     roster.endpoints[name] = endpoint
-    roster.by_address[registration.address] = endpoint
+    roster.by_address.setdefault(registration.address, {})[name] = endpoint
     roster.by_service.setdefault(registration.service, {})[name] = endpoint
     roster.changes += 1
 
@@ -248,7 +263,9 @@
     if endpoint is None:
         return
     registration = endpoint.registration
-    if roster.by_address.get(registration.address) is endpoint:
+    same_address = roster.by_address[registration.address]
+    same_address.pop(name)
+    if not same_address:
         roster.by_address.pop(registration.address)
     roster.by_service[registration.service].pop(name)
     roster.changes += 1
--- a/packages/entry/src/camphorstair/fleet/relaying.py
+++ b/packages/entry/src/camphorstair/fleet/relaying.py
@@ -14,6 +14,7 @@
 import curio
 
 from camphorstair.fleet import state
+from camphorstair_core.fleet import roster
 from camphorstair_fleet import internal_answers, internal_messages
 from camphorstair_platform import engines
 from camphorstair_runtime import http_client, http_messages
@@ -57,7 +58,7 @@
 
     def _is_rank(self, address: str) -> bool:
         """Return whether a rank is registered at an address."""
-        endpoint = self.entry.endpoints.by_address.get(address)
+        endpoint = roster.at_address(self.entry.endpoints, address)
         return (
             endpoint is not None
             and endpoint.registration.membership is not None
--- a/packages/entry/src/camphorstair/fleet/sensing.py
+++ b/packages/entry/src/camphorstair/fleet/sensing.py
@@ -7,7 +7,7 @@
 import curio
 
 from camphorstair.fleet import dispatch, state
-from camphorstair_core.fleet import placement
+from camphorstair_core.fleet import placement, roster
 from camphorstair_fleet import internal_messages
 from camphorstair_runtime import clocks
 
@@ -46,7 +46,7 @@
         except internal_messages.MessageError as error:
             _LOG.warning('load report dropped: %s', error)
             return
-        endpoint = self.entry.endpoints.by_address.get(message.address)
+        endpoint = roster.at_address(self.entry.endpoints, message.address)
         if endpoint is None:
             return
         candidate = self.entry.candidate(endpoint)
--- a/tests/test_fleet_relaying.py
+++ b/tests/test_fleet_relaying.py
@@ -52,6 +52,29 @@
     return address
 
 
+@pytest.mark.parametrize('earlier', ['i-0', 'i-9'])
+def test_an_order_reaches_an_engine_whose_earlier_registration_ends_later(
+    bench: fleet_bench.FleetBench, earlier: str
+) -> None:
+    async def engine(
+        _request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        await responder.respond(http_messages.Response(202, [], b''))
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        address = await _add_engine(running, engine, group=dict(GROUP), born=2)
+        listed = running.entry.endpoints.endpoints
+        running.register(earlier, 'engine', address, group=dict(GROUP), born=1)
+        await running.wait_until(lambda: earlier in listed)
+        assert (await _relay(running, address)).status == 200
+        running.store.remove(f'servers/{earlier}')
+        await running.wait_until(lambda: earlier not in listed)
+        assert (await _relay(running, address)).status == 200
+
+    bench.run(body)
+
+
 def test_an_order_reaches_the_engine(bench: fleet_bench.FleetBench) -> None:
     orders: list[bytes] = []
 
