--- a/tests/test_fleet_crashing_requests.py
+++ b/tests/test_fleet_crashing_requests.py
@@ -9,6 +9,7 @@
 from camphorstair_core.fleet import quarantine, request_identity
 from camphorstair_fleet import keys
 from camphorstair_platform_standins import crashing, documents
+from camphorstair_runtime import clocks
 
 CRASHING_BODY = b'reserve yard -1'
 # After the third crash and this time, at most this many copies of the request
@@ -19,6 +20,9 @@
 FIRST_ROUNDS = 12
 MAX_REFUSAL_S = 90
 COPIES = 6
+COPY_INTERVAL_S = 0.15
+OUTAGE_S = 4.0
+LATER_S = 4.0
 LATER_ROUNDS = 10
 
 
@@ -169,3 +173,48 @@
         assert not world.arrivals
 
     world.bench.run(body)
+
+
+async def _send_for(world: crashing_world.World, duration_s: float) -> None:
+    """Send copies of the crashing request to all entries in turn."""
+    end_s = clocks.monotonic_s() + duration_s
+    while clocks.monotonic_s() < end_s:
+        await curio.spawn(_send_crashing, world, daemon=True)
+        await curio.sleep(COPY_INTERVAL_S)
+
+
+def test_entries_agree_on_a_request_once_the_store_is_back() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        for name in ('front-3', 'front-4'):
+            world.entries.append(await running.add_entry(name))
+        running.store.faults.refuses = True
+        await _send_for(world, OUTAGE_S)
+        running.store.faults.refuses = False
+        await _send_for(world, CONTACT_S)
+        assert len(world.crashes_s) >= MAX_CRASHES
+        before = world.arrivals
+        await _send_for(world, LATER_S)
+        assert world.arrivals - before <= MAX_LATER_ARRIVALS
+
+    world.bench.run(body)
+
+
+def test_an_entry_that_joins_during_the_crashes_refuses_the_request() -> None:
+    world = _world(crashing_world.LOOK)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await world.start()
+        while len(world.crashes_s) < MAX_CRASHES - 1:
+            await _send_crashing(world)
+            await curio.sleep(crashing_world.RESTART_S)
+        joined = await running.add_entry('front-9')
+        await _send_for(world, CONTACT_S)
+        world.entries = [joined]
+        before = world.arrivals
+        await _send_for(world, LATER_S)
+        assert world.arrivals - before <= MAX_LATER_ARRIVALS
+
+    world.bench.run(body)
