--- a/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
+++ b/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
@@ -35,6 +35,9 @@
     group_orders.OrderKind.arm,
 )
 
+# Time until reports are written again that the store did not take.
+RETRY_INTERVAL_S = 0.5
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -48,6 +51,7 @@
     :ivar quarantined: The kinds of orders that are not given.
     :ivar answered: The orders that were carried out.
     :ivar last_published: The reports that the store has of this agent.
+    :ivar news: Set when the store may not have this agent's reports.
     :ivar concluded_changes: Up to which report conclusions were drawn.
     """
 
@@ -63,8 +67,20 @@
         factory=answered_parts.AnsweredParts
     )
     last_published: tuple[crash_reports.CrashReport, ...] = ()
+    news: curio.Event = attrs.field(factory=curio.Event)
     concluded_changes: int = 0
 
+    async def run(self) -> None:
+        """Write this agent's reports to the store until cancelled.
+
+        The planner must not wait for the store: its group may be held.
+        """
+        while True:
+            await self.news.wait()
+            self.news.clear()
+            while not await self._publish():
+                await curio.sleep(RETRY_INTERVAL_S)
+
     async def check(
         self, unanswered: rank_calls.Orders, ranks: rank_calls.Ranks
     ) -> None:
@@ -77,7 +93,7 @@
             for order in unanswered:
                 if order.kind in SWITCH_KINDS:
                     await group.spawn(self._check_one, order, ranks[order.rank])
-        await self.publish()
+        await self.news.set()
 
     def may_begin_switch(self, group: str) -> bool:
         """Return whether a switch may begin, if only as a trial."""
@@ -109,14 +125,17 @@
         )
         for suspect in suspects:
             self.quarantined.release(suspect)
-        await self.publish()
+        await self.news.set()
 
-    async def publish(self) -> None:
-        """Write this agent's reports to the store if it does not have them."""
+    async def _publish(self) -> bool:
+        """Write this agent's reports to the store if it does not have them.
+
+        :returns: Whether it has them.
+        """
         own = self.agent.settings.name
         reports = crash_reports.published(self.agent.crashes, own)
         if reports == self.last_published:
-            return
+            return True
         key = keys.crash_reports(own)
         try:
             lease = await self.client.grant(crash_reports.REPORT_LIFE_S)
@@ -124,8 +143,9 @@
             await self.client.transact((), (put,))
         except (store_errors.StoreError, fields.FormatError) as error:
             _LOG.warning('%s not written: %s', key, error)
-            return
+            return False
         self.last_published = reports
+        return True
 
     async def _check_one(
         self, order: group_orders.Order, registration: roster.Registration
--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -68,6 +68,7 @@
         follower.run_services,
         load_reporter.run,
         datagrams.run,
+        crashes.run,
         planning.PlannerCandidate(agent, client, calls, crashes).run,
         rescuing.HoldWatchdog(agent, calls).run,
     ]
--- a/tests/test_fleet_order_crashes.py
+++ b/tests/test_fleet_order_crashes.py
@@ -35,6 +35,8 @@
 SUSPECT = suspect_kinds.order('prepare', GROUP)
 INCIDENT_S = 0.05
 PREPARE = group_orders.Order(0, group_orders.OrderKind.prepare, 1)
+# A held group must not wait longer for its next orders.
+ROUND_LIMIT_S = 0.1
 RUN_S = 2.0
 # Two crashes show it; one more may happen before they are known.
 MAX_PREPARES = 3
@@ -195,7 +197,9 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         crashes = _crashes(running)
+        publishing = await curio.spawn(crashes.run)
         await _crash_twice(crashes)
+        await publishing.cancel()
         assert not crashes.may_begin_switch(GROUP)
         assert crashes.may_begin_switch('other')
         row = running.store.rows[keys.crash_reports(running.told.name)]
@@ -276,10 +280,47 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         crashes = _crashes(running)
+        publishing = await curio.spawn(crashes.run)
         await _make_trial_due(crashes)
         crashes.note_begun(GROUP)
         await crashes.note_completed(GROUP)
+        await curio.sleep(INCIDENT_S)
+        await publishing.cancel()
         assert crashes.may_begin_switch(GROUP)
         assert _crashes(running).may_begin_switch(GROUP)
 
     bench.run(body)
+
+
+def test_the_planner_does_not_wait_for_a_silent_store(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    """Its group may be held while it notes that a switch was completed."""
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        publishing = await curio.spawn(crashes.run)
+        await _make_trial_due(crashes)
+        running.store.faults.loses_answers = True
+        async with curio.timeout_after(ROUND_LIMIT_S):
+            await crashes.note_completed(GROUP)
+        await publishing.cancel()
+
+    bench.run(body)
+
+
+def test_a_report_of_an_outage_is_published_when_the_store_is_back(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        publishing = await curio.spawn(crashes.run)
+        running.store.faults.refuses = True
+        await _crash_twice(crashes)
+        running.store.faults.refuses = False
+        await curio.sleep(2 * order_crashes.RETRY_INTERVAL_S)
+        await publishing.cancel()
+        row = running.store.rows[keys.crash_reports(running.told.name)]
+        assert SUSPECT.encode() in row.content
+
+    bench.run(body)
