--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -100,6 +100,10 @@
     async def _finish_round(self) -> None:
         if self.mirror.had_changes:
             self.agent.reselect_entries()
+        era = self.mirror.known.era
+        if self.agent.store_era != era:
+            self.agent.store_era = era
+            await self.agent.crash_news.set()
 
     async def _read_services(self) -> None:
         found = await self.client.get(
--- a/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
+++ b/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
@@ -51,7 +51,7 @@
     :ivar quarantined: The kinds of orders that are not given.
     :ivar answered: The orders that were carried out.
     :ivar last_published: The reports that the store has of this agent.
-    :ivar news: Set when the store may not have this agent's reports.
+    :ivar published_era: Era of the store in which they were written.
     :ivar concluded_changes: Up to which report conclusions were drawn.
     """
 
@@ -67,7 +67,7 @@
         factory=answered_parts.AnsweredParts
     )
     last_published: tuple[crash_reports.CrashReport, ...] = ()
-    news: curio.Event = attrs.field(factory=curio.Event)
+    published_era: int = 0
     concluded_changes: int = 0
 
     async def run(self) -> None:
@@ -76,8 +76,8 @@
         The planner must not wait for the store: its group may be held.
         """
         while True:
-            await self.news.wait()
-            self.news.clear()
+            await self.agent.crash_news.wait()
+            self.agent.crash_news.clear()
             while not await self._publish():
                 await curio.sleep(RETRY_INTERVAL_S)
 
@@ -93,7 +93,7 @@
             for order in unanswered:
                 if order.kind in SWITCH_KINDS:
                     await group.spawn(self._check_one, order, ranks[order.rank])
-        await self.news.set()
+        await self.agent.crash_news.set()
 
     def may_begin_switch(self, group: str) -> bool:
         """Return whether a switch may begin, if only as a trial."""
@@ -125,7 +125,7 @@
         )
         for suspect in suspects:
             self.quarantined.release(suspect)
-        await self.news.set()
+        await self.agent.crash_news.set()
 
     async def _publish(self) -> bool:
         """Write this agent's reports to the store if it does not have them.
@@ -134,7 +134,9 @@
         """
         own = self.agent.settings.name
         reports = crash_reports.published(self.agent.crashes, own)
-        if reports == self.last_published:
+        era = self.agent.store_era
+        unchanged = (self.last_published, self.published_era)
+        if not reports or (reports, era) == unchanged:
             return True
         key = keys.crash_reports(own)
         try:
@@ -145,6 +147,7 @@
             _LOG.warning('%s not written: %s', key, error)
             return False
         self.last_published = reports
+        self.published_era = era
         return True
 
     async def _check_one(
--- a/packages/agent/src/camphorstair_agent/fleet/state.py
+++ b/packages/agent/src/camphorstair_agent/fleet/state.py
@@ -1,6 +1,7 @@
 """State that the tasks of a fleet agent share."""
 
 import attrs
+import curio
 
 from camphorstair_agent.fleet import instruments
 from camphorstair_core.fleet import (
@@ -25,6 +26,9 @@
     :ivar services: The configured services by name.
     :ivar planners: Name of the VM that holds the planner lease, by rank group.
     :ivar crashes: The crashes that entries and agents have reported.
+    :ivar crash_news: Set when the store may not have this agent's reports of
+        crashes.
+    :ivar store_era: Era of the store's content that the lists are from.
     :ivar report: The last report of the engine on this VM; None if the last
         attempt to read it failed.
     :ivar freshness: When the lists were last confirmed by the store.
@@ -39,6 +43,8 @@
     crashes: crash_reports.CrashHistory = attrs.field(
         factory=crash_reports.CrashHistory
     )
+    crash_news: curio.Event = attrs.field(factory=curio.Event)
+    store_era: int = 0
     report: engines.EngineReport | None = None
     freshness: content_age.ContentAge = attrs.field(
         factory=content_age.ContentAge
--- a/tests/test_fleet_order_crashes.py
+++ b/tests/test_fleet_order_crashes.py
@@ -11,6 +11,7 @@
 from camphorstair_agent.fleet import (
     instruments,
     leading,
+    listing,
     map_planning,
     order_crashes,
     rank_calls,
@@ -38,6 +39,7 @@
 # A held group must not wait longer for its next orders.
 ROUND_LIMIT_S = 0.1
 RUN_S = 2.0
+REPUBLISH_LIMIT_S = 5.0
 # Two crashes show it; one more may happen before they are known.
 MAX_PREPARES = 3
 
@@ -324,3 +326,29 @@
         assert SUSPECT.encode() in row.content
 
     bench.run(body)
+
+
+def test_reports_are_published_again_to_a_store_that_came_back_older(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        crashes = _crashes(running)
+        # The entry of the bench has reports of its own under its own name.
+        crashes.agent.settings = attrs.evolve(running.told, name='side-1')
+        follower = listing.StoreFollower(crashes.agent, crashes.client)
+        tasks = [
+            await curio.spawn(task) for task in (crashes.run, follower.run)
+        ]
+        earlier = running.store.copy_content()
+        await _crash_twice(crashes)
+        key = keys.crash_reports('side-1')
+        await curio.sleep(order_crashes.RETRY_INTERVAL_S)
+        assert key in running.store.rows
+        running.store.come_back(earlier)
+        async with curio.timeout_after(REPUBLISH_LIMIT_S):
+            while key not in running.store.rows:
+                await curio.sleep(INCIDENT_S)
+        for task in tasks:
+            await task.cancel()
+
+    bench.run(body)
