--- a/tests/test_fleet_order_crashes.py
+++ b/tests/test_fleet_order_crashes.py
@@ -3,6 +3,7 @@
 import typing
 
 import attrs
+import crashing_group
 import curio
 import fleet_bench
 import pytest
@@ -12,9 +13,7 @@
     instruments,
     leading,
     listing,
-    map_planning,
     order_crashes,
-    rank_calls,
     state,
 )
 from camphorstair_core.experts import group_orders
@@ -26,13 +25,12 @@
     store_copy,
     suspect_kinds,
 )
-from camphorstair_fleet import crash_rows, internal_messages, keys
+from camphorstair_fleet import crash_rows, keys
 from camphorstair_platform import boot, store
 from camphorstair_runtime import clocks, http_messages, http_server
 from camphorstair_standins import loopback
 
-GROUP = 'g'
-SIZE = 2
+GROUP = crashing_group.GROUP
 SUSPECT = suspect_kinds.order('prepare', GROUP)
 INCIDENT_S = 0.05
 PREPARE = group_orders.Order(0, group_orders.OrderKind.prepare, 1)
@@ -44,20 +42,6 @@
 MAX_PREPARES = 3
 
 
-def _registration(rank: int, address: str, born_ms: int) -> roster.Registration:
-    return roster.Registration(
-        f'i-{rank}',
-        'engine',
-        address,
-        'levis-nord',
-        roster.EndpointState.ready,
-        4,
-        0,
-        born_ms,
-        roster.GroupMembership(GROUP, 1, rank, SIZE, is_open=True),
-    )
-
-
 def _agent(told: boot.BootSettings) -> state.FleetAgent:
     meter = metrics_api.NoOpMeter('test')
     return state.FleetAgent(told, instruments.create(meter))
@@ -77,86 +61,11 @@
 async def _crash_twice(crashes: order_crashes.OrderCrashes) -> None:
     """Let two engines end under an order, one after the other."""
     for born_ms in range(2):
-        ended = _registration(0, loopback.free_address(), born_ms)
+        ended = crashing_group.registration(0, loopback.free_address(), born_ms)
         await crashes.check([PREPARE], {0: ended})
         await curio.sleep(2 * INCIDENT_S)
 
 
-@attrs.define(eq=False)
-class CrashingGroup:
-    """A group whose first rank ends under each order to prepare a map.
-
-    :ivar agent: The planner's agent, which knows the ranks.
-    :ivar epoch: Number of its formations.
-    :ivar ended: Whether the first rank has ended and not started again.
-    :ivar prepares: Number of orders to prepare that it has had.
-    """
-
-    agent: state.FleetAgent
-    epoch: int = 1
-    ended: bool = False
-    prepares: int = 0
-
-    async def states(self, ranks: rank_calls.Ranks) -> rank_calls.States:
-        """Return the states of the ranks; the group forms again meanwhile."""
-        await curio.sleep(2 * INCIDENT_S)
-        found = {
-            rank: internal_messages.RankState(
-                group_orders.RankReport(self.epoch, 1, 0, 0)
-            )
-            for rank in ranks
-            if rank or not self.ended
-        }
-        if self.ended:
-            self.ended = False
-            self.epoch += 1
-            self.register()
-        return found
-
-    def register(self) -> None:
-        """Register the ranks' engines anew."""
-        for rank in range(SIZE):
-            address = loopback.free_address()
-            row = _registration(rank, address, self.epoch)
-            self.agent.endpoints[row.endpoint] = row
-
-    async def prepare(
-        self, orders: rank_calls.Orders, *_details: object
-    ) -> set[int]:
-        """Send the order; nobody answers."""
-        self.prepares += 1
-        self.ended = True
-        return set()
-
-
-@attrs.define(eq=False)
-class EagerPlanner:
-    """Plans another map whenever it is asked.
-
-    :ivar epoch: The group's formation.
-    :ivar in_use: The map in use.
-    :ivar planned: Number of maps planned.
-    """
-
-    epoch: int = 1
-    in_use: map_planning.MapPlan | None = None
-    planned: int = 0
-
-    async def plan(self, *_known: object) -> map_planning.MapPlan:
-        """Return a new map."""
-        self.planned += 1
-        return map_planning.MapPlan(self.planned, ())
-
-
-@attrs.frozen
-class Held:
-    """A planner lease that is held."""
-
-    def held(self) -> bool:
-        """Return whether it is held."""
-        return True
-
-
 @pytest.fixture(autouse=True)
 def _short_incidents(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(crash_incidents, 'INCIDENT_S', INCIDENT_S)
@@ -172,16 +81,18 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         crashes = _crashes(running)
-        group: typing.Any = CrashingGroup(crashes.agent)
+        group: typing.Any = crashing_group.CrashingGroup(crashes.agent)
         group.register()
-        planner: typing.Any = EagerPlanner()
-        lease: typing.Any = Held()
+        planner: typing.Any = crashing_group.EagerPlanner()
+        lease: typing.Any = crashing_group.Held()
         leader = leading.Leader(
             crashes.agent,
             group,
             group,
             lease,
-            roster.GroupMembership(GROUP, 1, 0, SIZE, is_open=True),
+            roster.GroupMembership(
+                GROUP, 1, 0, crashing_group.SIZE, is_open=True
+            ),
             crashes,
             planner,
         )
@@ -208,7 +119,7 @@
         assert SUSPECT.encode() in row.content
         successor = _crashes(running)
         await curio.sleep(2 * INCIDENT_S)
-        ended = _registration(0, loopback.free_address(), 9)
+        ended = crashing_group.registration(0, loopback.free_address(), 9)
         await successor.check([PREPARE], {0: ended})
         assert not successor.may_begin_switch(GROUP)
 
@@ -227,7 +138,9 @@
         crashes = _crashes(running)
         address = loopback.free_address()
         await running.listen(address, serve)
-        await crashes.check([PREPARE], {0: _registration(0, address, 1)})
+        await crashes.check(
+            [PREPARE], {0: crashing_group.registration(0, address, 1)}
+        )
         assert not crashes.agent.crashes.crashes
 
     bench.run(body)
@@ -246,7 +159,9 @@
                 crash_reports.Suspicion(('request-1',)),
                 clocks.monotonic_s(),
             )
-            ended = _registration(0, loopback.free_address(), born_ms)
+            ended = crashing_group.registration(
+                0, loopback.free_address(), born_ms
+            )
             await crashes.check([PREPARE], {0: ended})
             await curio.sleep(2 * INCIDENT_S)
         assert crashes.may_begin_switch(GROUP)
