--- a/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
+++ b/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
@@ -182,17 +182,17 @@
             return
         self.concluded_changes = crashes.changes
         for culprit in crash_culprits.culprits(crashes, self.answered.count):
-            kind = suspect_kinds.kind_of(culprit.part)
+            kind = suspect_kinds.kind_of(culprit.suspect)
             if kind is not suspect_kinds.SuspectKind.order:
                 continue
-            hold = self.quarantined.holds.get(culprit.part)
+            hold = self.quarantined.holds.get(culprit.suspect)
             delay_s = quarantine.trial_delay_s(
                 hold.trials if hold else 0, sole=culprit.sole
             )
-            self.quarantined.add(culprit.part, delay_s, now_s)
+            self.quarantined.add(culprit.suspect, delay_s, now_s)
             _LOG.warning(
                 'order quarantined',
-                extra={'part': culprit.part, 'delay_s': delay_s},
+                extra={'part': culprit.suspect, 'delay_s': delay_s},
             )
 
 
--- a/packages/core/src/camphorstair_core/fleet/crash_culprits.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_culprits.py
@@ -22,11 +22,11 @@
 class Culprit:
     """A suspect that was found to crash endpoints.
 
-    :ivar part: The request or the part.
+    :ivar suspect: Identifier of the request, the part or the order.
     :ivar sole: Whether nothing else explains the same incidents.
     """
 
-    part: str
+    suspect: str
     sole: bool
 
 
--- a/packages/core/src/camphorstair_core/fleet/quarantine.py
+++ b/packages/core/src/camphorstair_core/fleet/quarantine.py
@@ -21,10 +21,11 @@
 
 
 @attrs.frozen
-class QuarantinedPart:
-    """A prompt part or a request that must not be sent to endpoints.
+class QuarantinedSuspect:
+    """A suspect that must not be sent to endpoints, as the store has it.
 
-    :ivar part: Identifier of the part or the request.
+    :ivar part: Identifier of the request, the part or the order. The name is
+        that of the stored format.
     :ivar remaining_s: Time until a trial may be made.
     :ivar trials: Number of trials made so far.
     """
@@ -90,12 +91,14 @@
         self,
         suspects: abc.Iterable[str],
         now_s: float,
-    ) -> QuarantinedPart | None:
+    ) -> QuarantinedSuspect | None:
         """Return the quarantined suspect whose trial comes last, or None."""
         if not self.holds:
             return None
         found = [
-            QuarantinedPart(suspect, max(0, hold.trial_s - now_s), hold.trials)
+            QuarantinedSuspect(
+                suspect, max(0, hold.trial_s - now_s), hold.trials
+            )
             for suspect in suspects
             if (hold := self.holds.get(suspect)) and now_s < hold.end_s
         ]
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -159,7 +159,7 @@
             history, self.entry.crashes.answered.count
         )
         for culprit in found:
-            kind = suspect_kinds.kind_of(culprit.part)
+            kind = suspect_kinds.kind_of(culprit.suspect)
             if kind is not suspect_kinds.SuspectKind.order:
                 self._quarantine(culprit)
         if found:
@@ -168,19 +168,19 @@
     def _quarantine(self, culprit: crash_culprits.Culprit) -> None:
         """Quarantine a suspect; have it written if this entry reported it."""
         crashes = self.entry.crashes
-        hold = crashes.quarantined.holds.get(culprit.part)
+        hold = crashes.quarantined.holds.get(culprit.suspect)
         trials = hold.trials if hold else 0
         delay_s = quarantine.trial_delay_s(trials, sole=culprit.sole)
         now_s = clocks.monotonic_s()
         news_s = now_s + delay_s - quarantining.MIN_EXTENSION_S
         if hold and hold.trial_s > news_s:
             return
-        crashes.quarantined.add(culprit.part, delay_s, now_s)
+        crashes.quarantined.add(culprit.suspect, delay_s, now_s)
         _LOG.warning(
             '%s quarantined',
-            suspect_kinds.kind_of(culprit.part).value,
+            suspect_kinds.kind_of(culprit.suspect).value,
             extra={
-                'part': culprit.part,
+                'part': culprit.suspect,
                 'delay_s': delay_s,
                 'sole': culprit.sole,
                 'trials': trials,
@@ -188,9 +188,9 @@
             },
         )
         if crash_reports.is_reporter(
-            crashes.history, self.entry.settings.name, culprit.part
+            crashes.history, self.entry.settings.name, culprit.suspect
         ):
-            self.unwritten.add(culprit.part)
+            self.unwritten.add(culprit.suspect)
 
     async def _write(self, key: str, content: object, ttl_s: float) -> bool:
         """Write a key that the store keeps for some time.
--- a/packages/entry/src/camphorstair/fleet/quarantine_checks.py
+++ b/packages/entry/src/camphorstair/fleet/quarantine_checks.py
@@ -46,13 +46,13 @@
 
     def _find(
         self, waiter: waiting.Waiter
-    ) -> quarantine.QuarantinedPart | None:
+    ) -> quarantine.QuarantinedSuspect | None:
         return self.entry.crashes.quarantined.find(
             waiter.untried(), clocks.monotonic_s()
         )
 
 
-def _error(found: quarantine.QuarantinedPart) -> errors.RequestError:
+def _error(found: quarantine.QuarantinedSuspect) -> errors.RequestError:
     retry_after_s = max(found.remaining_s, MIN_RETRY_AFTER_S)
     if suspect_kinds.is_request(found.part):
         return errors.RequestError(
--- a/packages/entry/src/camphorstair/fleet/quarantining.py
+++ b/packages/entry/src/camphorstair/fleet/quarantining.py
@@ -47,7 +47,7 @@
         """
         hold = self._known().holds[suspect]
         delay_s = max(0, hold.trial_s - clocks.monotonic_s())
-        row = quarantine.QuarantinedPart(suspect, delay_s, hold.trials)
+        row = quarantine.QuarantinedSuspect(suspect, delay_s, hold.trials)
         return await self._put(hold, row)
 
     async def claim_trial(self, suspect: str, request: str) -> bool:
@@ -66,7 +66,7 @@
         hold.trial_s = now_s + CLAIM_INTERVAL_S
         trials = hold.trials + 1
         delay_s = quarantine.trial_delay_s(trials)
-        row = quarantine.QuarantinedPart(suspect, delay_s, trials)
+        row = quarantine.QuarantinedSuspect(suspect, delay_s, trials)
         unchanged = store.Compare(keys.quarantined(suspect), hold.revision)
         claimed = await self._put(hold, row, unchanged)
         if claimed:
@@ -100,7 +100,7 @@
     async def _put(
         self,
         hold: quarantine.Hold,
-        row: quarantine.QuarantinedPart,
+        row: quarantine.QuarantinedSuspect,
         *conditions: store.Compare,
     ) -> bool:
         """Write a key and note its revision.
@@ -165,12 +165,12 @@
     crashes.quarantined.release(suspect)
 
 
-def _decode(content: bytes) -> quarantine.QuarantinedPart:
+def _decode(content: bytes) -> quarantine.QuarantinedSuspect:
     """Return the quarantine that a value holds.
 
     :raises fields.FormatError: if it holds none.
     """
     try:
-        return msgspec.json.decode(content, type=quarantine.QuarantinedPart)
+        return msgspec.json.decode(content, type=quarantine.QuarantinedSuspect)
     except msgspec.DecodeError as error:
         raise fields.FormatError(f'invalid quarantine: {error}') from error
--- a/tests/test_crash_culprits.py
+++ b/tests/test_crash_culprits.py
@@ -78,7 +78,7 @@
         culprits = crash_culprits.culprits(
             self.histories[name], self.answered[name].count
         )
-        return {culprit.part for culprit in culprits}
+        return {culprit.suspect for culprit in culprits}
 
     def _publish(self, writer: str) -> None:
         history = self.histories[writer]
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -39,7 +39,7 @@
     def found(self) -> set[str]:
         """Return the parts that this entry concludes to crash engines."""
         culprits = crash_culprits.culprits(self.history, self.answered.count)
-        return {culprit.part for culprit in culprits}
+        return {culprit.suspect for culprit in culprits}
 
 
 def _exchange(entries: list[Knowledge], now_s: float) -> None:
@@ -203,7 +203,7 @@
     known = quarantine.Quarantine()
     known.add(BAD, 10, 0)
     known.add(BAD, 5, 0)
-    assert known.find((COMMON, BAD), 8) == quarantine.QuarantinedPart(BAD, 2)
+    assert known.find((COMMON, BAD), 8) == quarantine.QuarantinedSuspect(BAD, 2)
     assert known.find((COMMON,), 8) is None
 
 
@@ -212,7 +212,7 @@
     known.add(BAD, 10, 0)
     end_s = quarantine.QUARANTINE_S
     assert not known.expire(end_s - 1)
-    trial_due = quarantine.QuarantinedPart(BAD, 0)
+    trial_due = quarantine.QuarantinedSuspect(BAD, 0)
     assert known.find((BAD,), end_s - 1) == trial_due
     assert known.expire(end_s) == [BAD]
     assert known.find((BAD,), end_s - 1) is None
@@ -223,7 +223,7 @@
     known.add(BAD, 10, 0)
     known.add(COMMON, 20, 0)
     found = known.find((COMMON, BAD), 5)
-    assert found == quarantine.QuarantinedPart(COMMON, 15)
+    assert found == quarantine.QuarantinedSuspect(COMMON, 15)
 
 
 @pytest.mark.parametrize('sole', [True, False])
--- a/tests/test_fleet_crashing_prompts.py
+++ b/tests/test_fleet_crashing_prompts.py
@@ -138,7 +138,7 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         entry = running.entry
-        row = quarantine.QuarantinedPart(CRASHING_PART, 0)
+        row = quarantine.QuarantinedSuspect(CRASHING_PART, 0)
         key = keys.quarantined(CRASHING_PART)
         written = store_copy.Item(key, msgspec.json.encode(row), 1)
         quarantining.apply_key(entry, written, 1)
--- a/tests/test_fleet_crashing_requests.py
+++ b/tests/test_fleet_crashing_requests.py
@@ -86,7 +86,7 @@
 async def _make_trial_due(world: crashing_world.World, body: bytes) -> None:
     """Quarantine a lookup at all entries, so that a trial may be made."""
     suspect = _identity(body)
-    row = quarantine.QuarantinedPart(suspect, 0)
+    row = quarantine.QuarantinedSuspect(suspect, 0)
     world.bench.store.put(keys.quarantined(suspect), msgspec.json.encode(row))
     await world.bench.wait_until(
         lambda: all(
@@ -134,7 +134,7 @@
         assert statuses.count(503) == 2 * COPIES - 1
         row = running.store.rows[keys.quarantined(_identity(CRASHING_BODY))]
         written = msgspec.json.decode(
-            row.content, type=quarantine.QuarantinedPart
+            row.content, type=quarantine.QuarantinedSuspect
         )
         assert written.trials == 1
         assert written.remaining_s == quarantine.trial_delay_s(1)
