--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -24,7 +24,7 @@
     :ivar elapsed_s: Returns the time since the start of the run.
     :ivar leaving: Whether its answers say that it leaves.
     :ivar refusing_until_s: Until this time from the start of the run it
-        refuses requests and asks for rest.
+        refuses requests with Retry-After.
     """
 
     name: str
@@ -77,13 +77,13 @@
 
 
 def _refusal(headers: http_messages.HeaderList) -> http_messages.Response:
-    """Return an answer that asks for rest.
+    """Return a refusal with Retry-After.
 
     :param headers: The headers of an endpoint's own answer.
     """
-    rest = ('retry-after', str(recording.RETRY_AFTER_S))
+    retry_after = ('retry-after', str(recording.RETRY_AFTER_S))
     return http_messages.Response(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
-        [*headers, exchange_headers.NOT_RUN, rest],
+        [*headers, exchange_headers.NOT_RUN, retry_after],
         b'',
     )
--- a/soak/recording.py
+++ b/soak/recording.py
@@ -15,7 +15,7 @@
 EVENTS = 12
 REVOKE_S = documents.REVOKE_S
 DRAIN_S = 2.0
-# Rest that an endpoint asks for with a refusal.
+# Retry-After of a refusal by an endpoint.
 RETRY_AFTER_S = 2
 # A fault may still have an effect for this time after its end.
 FAULT_EFFECT_S = 3.0
@@ -90,7 +90,7 @@
     """Everything recorded in a run. Times are from the start of the run.
 
     :ivar runs: Requests that endpoints executed.
-    :ivar refusals: Requests that endpoints refused, asking for rest.
+    :ivar refusals: Requests that endpoints refused with Retry-After.
     :ivar leaving_reports: Requests whose answer said that the endpoint leaves.
     :ivar calls: Requests of callers.
     :ivar revoked_s: Time at which each key was revoked.
--- a/soak/report_checks.py
+++ b/soak/report_checks.py
@@ -2,9 +2,9 @@
 
 An endpoint that leaves gets no request that a caller sent to an entry later
 than ``DRAIN_S`` after that entry had passed on an answer which said so. An
-endpoint that turned an entry away and asked for rest gets at most
-``MAX_ARRIVALS`` requests from it until the rest ends, without the first
-``REST_DELAY_S``. An entry that was stopped, frozen or killed since, and one that
+endpoint that refused an entry's request with Retry-After gets at most
+``MAX_ARRIVALS`` requests from it in that time, the first
+``REFUSAL_DELAY_S`` left out. An entry that was stopped, frozen or killed since, and one that
 may not have got the answer, is excused.
 """
 
@@ -12,7 +12,7 @@
 
 from soak import recording
 
-REST_DELAY_S = 0.5
+REFUSAL_DELAY_S = 0.5
 MAX_ARRIVALS = 2
 
 
@@ -21,7 +21,7 @@
     calls = {call.attempt: call for call in seen.calls}
     return [
         *_arrivals_after_leaving(seen, calls),
-        *_arrivals_in_rest(seen, calls),
+        *_arrivals_after_refusal(seen, calls),
     ]
 
 
@@ -41,21 +41,21 @@
                 )
 
 
-def _arrivals_in_rest(
+def _arrivals_after_refusal(
     seen: recording.Recording, calls: dict[str, recording.Call]
 ) -> abc.Iterator[str]:
     for refusal in seen.refusals:
         arrivals = [
             arrival.attempt
             for arrival in _later_arrivals(seen, calls, refusal)
-            if REST_DELAY_S
+            if REFUSAL_DELAY_S
             < arrival.at_s - refusal.at_s
             < recording.RETRY_AFTER_S
         ]
         if len(arrivals) > MAX_ARRIVALS:
             yield (
-                f'{arrivals} reached {refusal.endpoint}, which asked for rest '
-                f'in {refusal.attempt}'
+                f'{arrivals} reached {refusal.endpoint}, which refused '
+                f'{refusal.attempt} with Retry-After'
             )
 
 
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -26,6 +26,8 @@
     group_orders.Order(0, group_orders.OrderKind.hold, step=9), 2
 )
 
+REPLY_LIMIT_S = 5.0
+
 Body = abc.Callable[[str], abc.Awaitable[None]]
 
 
@@ -92,10 +94,38 @@
 
 def test_a_planner_that_has_restarted_gets_no_remembered_reply() -> None:
     """The restarted process may send from the same port as before."""
-    callers = [
-        rank_datagrams.DatagramCaller(loopback.HOST) for _restart in range(2)
-    ]
-    assert callers[0].last_number != callers[1].last_number
+    paths: list[str] = []
+
+    async def engine(
+        request: http_messages.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        paths.append(request.method)
+        await responder.respond(http_messages.Response(200, [], REPORT))
+
+    async def body(agent: str) -> None:
+        async with curio.socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM
+        ) as sock:
+            for _ in range(2):
+                caller = rank_datagrams.DatagramCaller(loopback.HOST)
+                await _send_first_call(sock, agent, caller)
+        assert paths.count('POST') == 2
+
+    curio.run(_with_agent, body, engine)
+
+
+async def _send_first_call(
+    sock: curio.io.Socket, agent: str, caller: rank_datagrams.DatagramCaller
+) -> None:
+    """Send the first order of a planner's process and wait for the reply."""
+    call = internal_messages.RankCall(
+        caller.last_number + 1, ORDER.order, ORDER.epoch
+    )
+    content = internal_messages.encode(call)
+    await sock.sendto(content, settings.split_address(agent))
+    async with curio.timeout_after(REPLY_LIMIT_S):
+        await sock.recvfrom(internal_messages.MAX_DATAGRAM_BYTES)
 
 
 def test_hung_order_is_reported_before_planner_timeout() -> None:
--- a/tests/test_fleet_order_crashes.py
+++ b/tests/test_fleet_order_crashes.py
@@ -248,7 +248,7 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         crashes = _crashes(running)
-        # The entry of the bench has reports of its own under its own name.
+        # The entry of this test publishes its own reports under its name.
         crashes.agent.settings = attrs.evolve(running.told, name='side-1')
         follower = listing.StoreFollower(crashes.agent, crashes.client)
         tasks = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -208,7 +208,7 @@
     assert not report_checks.broken(seen)
 
 
-def test_requests_to_an_endpoint_that_asked_for_rest_are_reported() -> None:
+def test_requests_to_an_endpoint_within_its_retry_after_are_reported() -> None:
     most = (1.6,) * report_checks.MAX_ARRIVALS
     for arrivals_s, broken in ((most, 0), ((*most, 2), 1), ((*most, 4), 0)):
         seen = _told(1, *arrivals_s)
