--- a/packages/core/src/camphorstair_core/fleet/catalogue.py
+++ b/packages/core/src/camphorstair_core/fleet/catalogue.py
@@ -151,6 +151,8 @@
     :ivar organisations: The organisations by key; None if keys are not
         required.
     :ivar limits: Limits on what callers may send.
+    :ivar ranked_services: Services whose routes have two or more different
+        priorities, so that their requests compete by priority.
     """
 
     version: int
@@ -158,6 +160,16 @@
     services: dict[str, Service]
     organisations: dict[str, Organisation] | None
     limits: caller_limits.CallerLimits
+    ranked_services: frozenset[str] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Find the ranked services."""
+        ranked = _ranked_services(self.routes)
+        object.__setattr__(self, 'ranked_services', ranked)
+
+    def is_ranked(self, service: str) -> bool:
+        """Return whether the routes of a service have different priorities."""
+        return service in self.ranked_services
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None.
@@ -183,5 +195,18 @@
     }
 
 
+def _ranked_services(
+    routes: dict[str, tuple[Route, ...]],
+) -> frozenset[str]:
+    priorities: dict[str, set[int]] = {}
+    for host_routes in routes.values():
+        for route in host_routes:
+            for share in route.services:
+                priorities.setdefault(share.service, set()).add(route.priority)
+    return frozenset(
+        service for service, found in priorities.items() if len(found) > 1
+    )
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -41,6 +41,11 @@
     :ivar suspects: What in it may crash endpoints: its identity and the parts
         of its prompt that other prompts share.
     :ivar trials: Those in spite of which it is sent, as a trial.
+    :ivar work_s: Estimated time for which it occupies a slot; 0 if unknown.
+    :ivar kv_tokens: Estimated KV cache that it needs, in tokens; 0 if unknown.
+    :ivar identity: Digest that identifies the request when it comes again.
+    :ivar came_early: Whether it came back before the time that the refusal of
+        its earlier attempt named.
     """
 
     organisation: str
@@ -52,6 +57,10 @@
     request: str = ''
     suspects: tuple[str, ...] = ()
     trials: set[str] = attrs.field(factory=set)
+    work_s: float = 0
+    kv_tokens: int = 0
+    identity: str = ''
+    came_early: bool = False
 
     def untried(self) -> list[str]:
         """Return the suspects for which it is no trial."""
@@ -66,10 +75,12 @@
 
     :ivar waiters: The waiting requests.
     :ivar in_progress: Number of requests at endpoints, by organisation.
+    :ivar is_ranked: Whether its service is ranked; see ``catalogue``.
     """
 
     waiters: list[Waiter] = attrs.field(factory=list)
     in_progress: dict[str, int] = attrs.field(factory=dict)
+    is_ranked: bool = False
 
 
 @attrs.define
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -186,7 +186,14 @@
 
     def queue(self, service: str) -> waiting.Queue:
         """Return the queue of a service; it is created on first use."""
-        return self.queues.setdefault(service, waiting.Queue())
+        queue = self.queues.setdefault(service, waiting.Queue())
+        queue.is_ranked = self.is_ranked(service)
+        return queue
+
+    def is_ranked(self, service: str) -> bool:
+        """Return whether the routes of a service have different priorities."""
+        configuration = self.configuration
+        return configuration is not None and configuration.is_ranked(service)
 
     def budget(self, service: str) -> windows.RetryBudget:
         """Return the retry budget of a service; it is created on first use."""
