--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -8,6 +8,7 @@
     request_identity,
     stream_progress,
     waiting,
+    work_estimates,
 )
 from camphorstair_platform import headers
 from camphorstair_runtime import http_messages, http_server
@@ -32,6 +33,7 @@
     :ivar deadline_s: Time by which the answer must be complete.
     :ivar waiter: Its entry in the service's queue.
     :ivar stream: The events that were sent to the caller so far.
+    :ivar work: Its estimated work; unknown if its service is not ranked.
     :ivar attempts: Number of finished attempts that sent the request.
     :ivar sent: Whether the current attempt has begun to send the request and
         has not failed.
@@ -51,6 +53,7 @@
     deadline_s: float
     waiter: waiting.Waiter
     stream: stream_progress.StreamProgress
+    work: work_estimates.Work
     attempts: int = 0
     sent: bool = False
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -6,11 +6,17 @@
 import attrs
 import curio
 
-from camphorstair.fleet import endpoint_choice, quarantine_checks, state
+from camphorstair.fleet import (
+    endpoint_choice,
+    quarantine_checks,
+    ranked_queues,
+    state,
+)
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
     endpoint_terms,
     placement,
+    ranked_refusals,
     roster,
     waiting,
 )
@@ -45,12 +51,18 @@
 
     :ivar waiter: Its entry in the service's queue.
     :ivar granted: The endpoint assigned to it; None until then.
+    :ivar expected_start_s: When it was expected to be assigned one, by the
+        estimate at its arrival; None if it was not estimated.
+    :ivar refusal: Why it was dropped from the queue of a ranked service; None
+        if it was not.
     :ivar decided: Set when an endpoint is assigned or the request is dropped
         from the queue.
     """
 
     waiter: waiting.Waiter
     granted: placement.Candidate | None = None
+    expected_start_s: float | None = None
+    refusal: errors.RequestError | None = None
     decided: curio.Event = attrs.field(factory=curio.Event)
 
 
@@ -61,19 +73,24 @@
     :ivar entry: The entry's state.
     :ivar quarantines: Refuses requests that crash endpoints.
     :ivar choice: Decides which endpoints may be used.
+    :ivar ranked: Orders and refuses the requests of ranked services.
     :ivar pending_requests: The queued requests by their entry in the queue.
     """
 
     entry: state.FleetEntry
     quarantines: quarantine_checks.QuarantineCheck
     choice: endpoint_choice.EndpointChoice = attrs.field(init=False)
+    ranked: ranked_queues.RankedQueues = attrs.field(init=False)
     pending_requests: dict[waiting.Waiter, PendingRequest] = attrs.field(
         factory=dict
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the choice of endpoints."""
+        """Create the choice of endpoints and the ranked queues."""
         self.choice = endpoint_choice.EndpointChoice(self.entry)
+        self.ranked = ranked_queues.RankedQueues(
+            self.entry.generator, self.entry.meters
+        )
 
     async def acquire(
         self,
@@ -88,10 +105,25 @@
             queue is full, or no endpoint is free in time, or if the request
             crashes endpoints.
         """
+        try:
+            return await self._acquire(service, waiter)
+        except errors.RequestError as refusal:
+            if self.entry.is_ranked(service):
+                self.ranked.note_refused(
+                    waiter, refusal.retry_after_s or 0, clocks.monotonic_s()
+                )
+            raise
+
+    async def _acquire(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+    ) -> placement.Candidate:
         if self.choice.usable(service):
             await self.quarantines.claim_trials(waiter)
         self.quarantines.check(waiter)
         usable = self.choice.usable(service)
+        await self._make_room(service, waiter)
         self._check_service(service, waiter, usable)
         pending = PendingRequest(waiter)
         queue = self.entry.queue(service)
@@ -99,16 +131,22 @@
         self.pending_requests[waiter] = pending
         await self._grant(service, usable)
         try:
+            if queue.is_ranked and waiter in queue.waiters:
+                await self._estimate_start(service, queue, pending)
             await pending.decided.wait()
         finally:
             self.pending_requests.pop(waiter, None)
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
+        if pending.refusal is not None:
+            raise pending.refusal
         if pending.granted is None:
             self.quarantines.check(waiter)
             self._check_terms(waiter, self.choice.usable(service), 0)
-            raise self.refusal(
-                service, errors.overloaded, 'no endpoint was free in time'
+            raise self._expiry(service, waiter)
+        if pending.expected_start_s is not None:
+            self.entry.meters.start_error_s.record(
+                clocks.monotonic_s() - pending.expected_start_s
             )
         return pending.granted
 
@@ -146,6 +184,10 @@
             await self.pending_requests[waiter].decided.set()
         if queue.waiters:
             await self._grant(service, usable)
+        if queue.is_ranked:
+            self.ranked.note_queue(service, queue, now_s)
+        if self.ranked.check_is_due(service, queue, now_s):
+            await self._refuse_unservable(service, queue)
 
     def refusal(
         self,
@@ -183,11 +225,13 @@
         free = self.choice.free(service, usable, now_s)
         # Under load most calls find no free endpoint, so the queue is sorted
         # only after this check.
-        waiters = waiting.sorted_waiters(queue, now_s) if free else []
+        waiters = self._ordered(service, queue, now_s) if free else []
         for waiter in waiters:
             candidate = self.choice.choose(free, waiter, now_s)
             if candidate is not None:
                 waiting.start(queue, waiter)
+                if queue.is_ranked:
+                    self.ranked.note_start(service, queue, waiter, now_s)
                 self.choice.count_sent(candidate, now_s)
                 pending = self.pending_requests[waiter]
                 pending.granted = candidate
@@ -196,6 +240,96 @@
             if not free:
                 return
 
+    def _ordered(
+        self,
+        service: str,
+        queue: waiting.Queue,
+        now_s: float,
+    ) -> list[waiting.Waiter]:
+        if queue.is_ranked:
+            return self.ranked.ordered(service, queue, now_s)
+        return waiting.sorted_waiters(queue, now_s)
+
+    async def _estimate_start(
+        self,
+        service: str,
+        queue: waiting.Queue,
+        pending: PendingRequest,
+    ) -> None:
+        """Estimate when a request that has to wait starts.
+
+        Requests of its queue that can't start in time are refused.
+        """
+        now_s = clocks.monotonic_s()
+        self.ranked.note_queue(service, queue, now_s)
+        pending.expected_start_s = self.ranked.expected_start_s(
+            service, queue, pending.waiter, now_s
+        )
+        await self._refuse_unservable(service, queue)
+
+    async def _refuse_unservable(
+        self,
+        service: str,
+        queue: waiting.Queue,
+    ) -> None:
+        """Refuse the requests of a ranked service that can't start in time.
+
+        To be called after free endpoints were assigned, so that none is free
+        for those that still wait.
+        """
+        now_s = clocks.monotonic_s()
+        for waiter in self.ranked.unservable(service, queue, now_s):
+            await self._drop(service, waiter, ranked_queues.Cause.no_room)
+
+    async def _make_room(self, service: str, waiter: waiting.Waiter) -> None:
+        """Drop a request from a full queue for a more urgent one.
+
+        :raises errors.RequestError: if the new request is the one to refuse.
+        """
+        queue = self.entry.queue(service)
+        if not queue.is_ranked or len(queue.waiters) < MAX_QUEUED_REQUESTS:
+            return
+        now_s = clocks.monotonic_s()
+        displaced = ranked_refusals.displaced(queue, waiter, now_s)
+        cause = ranked_queues.Cause.displaced
+        if displaced is waiter:
+            raise self.ranked.refusal(service, queue, waiter, cause, now_s)
+        await self._drop(service, displaced, cause)
+
+    def _expiry(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+    ) -> errors.RequestError:
+        """Return the error for a request whose time in the queue is up."""
+        queue = self.entry.queue(service)
+        if queue.is_ranked:
+            return self.ranked.refusal(
+                service,
+                queue,
+                waiter,
+                ranked_queues.Cause.expired,
+                clocks.monotonic_s(),
+            )
+        return self.refusal(
+            service, errors.overloaded, 'no endpoint was free in time'
+        )
+
+    async def _drop(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+        cause: ranked_queues.Cause,
+    ) -> None:
+        """Refuse a request in the queue of a ranked service."""
+        queue = self.entry.queue(service)
+        queue.waiters.remove(waiter)
+        pending = self.pending_requests[waiter]
+        pending.refusal = self.ranked.refusal(
+            service, queue, waiter, cause, clocks.monotonic_s()
+        )
+        await pending.decided.set()
+
     def _check_service(
         self,
         service: str,
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -117,8 +117,18 @@
         await crash_suspects.note_answered(self.entry, attempt)
         ejection.record_success(candidate.health, attempt.began_s)
         self.outcomes.record_answered(attempt, self.queued_s)
+        self._note_slot_time(attempt)
         return None
 
+    def _note_slot_time(self, attempt: attempts.Attempt) -> None:
+        """Note for how long an answer made in one attempt occupied a slot."""
+        call = self.call
+        if call.attempts == 1 and self.entry.is_ranked(call.service):
+            now_s = clocks.monotonic_s()
+            self.dispatcher.ranked.note_answered(
+                call.route, call.work, now_s - attempt.began_s, now_s
+            )
+
     async def _run_movable(
         self,
         attempt: attempts.Attempt,
--- a/packages/entry/src/camphorstair/fleet/gauges.py
+++ b/packages/entry/src/camphorstair/fleet/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of an entry's configuration, queues, endpoints and members."""
 
+import collections
 from collections import abc
 
 from opentelemetry import metrics as metrics_api
@@ -23,6 +24,10 @@
     gauge('configuration_version', lambda: _configuration_version(entry))
     gauge('knowledge_age_seconds', lambda: _knowledge_age_s(entry))
     gauge('queued_requests', lambda: _queued_count(entry))
+    meter.create_observable_gauge(
+        'camphorstair_queued_by_priority',
+        [lambda _options: _queued_by_priority(entry)],
+    )
     gauge('endpoints', lambda: len(entry.endpoints.endpoints))
     gauge('ejected_endpoints', lambda: _ejected_count(entry))
     gauge('quarantined_parts', lambda: len(entry.crashes.quarantined.holds))
@@ -41,6 +46,18 @@
     return sum(len(queue.waiters) for queue in entry.queues.values())
 
 
+def _queued_by_priority(entry: state.FleetEntry) -> Observed:
+    """Return the number of queued requests of ranked services by priority."""
+    counts = collections.Counter(
+        waiter.priority
+        for queue in entry.queues.values()
+        if queue.is_ranked
+        for waiter in queue.waiters
+    )
+    for priority, count in counts.items():
+        yield metrics_api.Observation(count, {'priority': priority})
+
+
 def _ejected_count(entry: state.FleetEntry) -> int:
     now_s = clocks.monotonic_s()
     return sum(
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -14,6 +14,10 @@
         them.
     :ivar ejections: Ejections of endpoints after failures.
     :ivar crashes: Requests whose endpoint crashed before it answered.
+    :ivar queue_refusals: Queued requests of ranked services that were refused,
+        by cause and priority.
+    :ivar start_error_s: Time that a request of a ranked service waited beyond
+        the estimate at its arrival, in seconds; negative if less.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
@@ -25,6 +29,8 @@
     retries: metrics_api.Counter
     ejections: metrics_api.Counter
     crashes: metrics_api.Counter
+    queue_refusals: metrics_api.Counter
+    start_error_s: metrics_api.Histogram
     queued_s: metrics_api.Histogram
     first_part_s: metrics_api.Histogram
 
@@ -37,6 +43,8 @@
         meter.create_counter('camphorstair_repeats'),
         meter.create_counter('camphorstair_ejections'),
         meter.create_counter('camphorstair_crashes'),
+        meter.create_counter('camphorstair_queue_refusals'),
+        meter.create_histogram('camphorstair_start_estimate_error_seconds'),
         meter.create_histogram('camphorstair_queued_seconds'),
         meter.create_histogram('camphorstair_first_part_seconds'),
     )
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -12,6 +12,7 @@
     content_age,
     stream_progress,
     waiting,
+    work_estimates,
 )
 from camphorstair_platform import headers
 from camphorstair_runtime import clocks, http_messages, http_server
@@ -116,28 +117,52 @@
         )
         waiter.request = caller_headers.attempt
         waiter.suspects = (identity, *caller_headers.prompt_parts)
+        elapsed_s = self.entry.caller_times.elapsed_s(route, caller_limit_s)
+        service = self._service(route)
+        work = work_estimates.Work(0, 0)
+        if configuration.is_ranked(service):
+            waiter.identity = identity
+            work = self._estimate(configuration, route, service, caller_headers)
+            self.dispatcher.ranked.describe(waiter, work, now_s)
+            elapsed_s = max(elapsed_s, now_s - waiter.arrived_s)
         waiting.set_deadlines(
-            waiter,
-            route,
-            now_s,
-            now_s + limit_s,
-            self.entry.caller_times.elapsed_s(route, caller_limit_s),
+            waiter, route, now_s, now_s + limit_s, elapsed_s
         )
         return calls.Call(
             request=request,
             caller_headers=caller_headers,
             route=route,
             version=configuration.version,
-            service=self._service(route),
+            service=service,
             organisation=waiter.organisation,
             identity=identity,
             responder=responder,
             received_s=now_s,
             deadline_s=now_s + limit_s,
             waiter=waiter,
+            work=work,
             stream=stream_progress.StreamProgress(caller_headers.last_event),
         )
 
+    def _estimate(
+        self,
+        configuration: catalogue.Catalogue,
+        route: catalogue.Route,
+        service: str,
+        caller_headers: headers.CallerHeaders,
+    ) -> work_estimates.Work:
+        """Return the estimated work of a request."""
+        configured = configuration.services.get(service)
+        size = work_estimates.RequestSize(
+            caller_headers.prompt_tokens, caller_headers.answer_tokens
+        )
+        return work_estimates.estimate(
+            self.dispatcher.ranked.estimates,
+            route,
+            size,
+            configured.engine if configured else None,
+        )
+
     def _check_serving(self) -> None:
         """Refuse a request that comes late in a shutdown.
 
