Share idle slots of engines between entries by grants

Cause: an entry whose requests wait may not use slots that other entries own, although they are idle; with 5 slots and 8 entries some own none. Change: entries of ranked services ask agents for idle slots by datagram; the agent reads its report, grants what is idle for 0.25 s, and the entry sends one request for each grant. Services that are not ranked send nothing.

--- a/packages/agent/src/camphorstair_agent/fleet/serving.py
+++ b/packages/agent/src/camphorstair_agent/fleet/serving.py
@@ -18,6 +18,7 @@
     ranks,
     rescuing,
     sensing,
+    slot_granting,
     state,
 )
 from camphorstair_fleet import metrics_page
@@ -63,10 +64,14 @@
     load_reporter = sensing.LoadReporter(
         agent, engine_calls.EngineCalls(told.engine_address)
     )
+    granter = slot_granting.SlotGranter(
+        agent, engine_calls.EngineCalls(told.engine_address)
+    )
     return [
         follower.run,
         follower.run_services,
         load_reporter.run,
+        granter.run,
         datagrams.run,
         crashes.run,
         planning.PlannerCandidate(agent, client, calls, crashes).run,
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -36,6 +36,9 @@
 # With at least this many free slots, or more than half of all, an entry may use
 # any of them.
 AMPLE_FREE_SLOTS = 3
+# For how long an entry may use a slot that an agent has granted it. It covers
+# two report intervals, so that a report shows the request before the end.
+GRANT_VALID_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -51,6 +54,8 @@
     :ivar is_open: Whether the endpoint's rank group worked, by that report.
     :ivar pace: The endpoint's slowdown factor in that report; 1 is its usual
         speed.
+    :ivar grant_deadline_s: Until when this entry may send one request more, as
+        the agent has granted it a slot; 0 if it has not.
     """
 
     running: int = 0
@@ -60,6 +65,7 @@
     waiting: int = 0
     is_open: bool = True
     pace: float = 1.0
+    grant_deadline_s: float = 0
 
 
 @attrs.define(eq=False)
@@ -119,9 +125,16 @@
     return load.running
 
 
+def has_grant(load: Load, now_s: float) -> bool:
+    """Return whether a slot that an agent granted may be used now."""
+    return now_s < load.grant_deadline_s
+
+
 def has_free_slot(candidate: Candidate, now_s: float) -> bool:
     """Return whether this entry may send an endpoint one more request."""
     load = candidate.load
+    if has_grant(load, now_s):
+        return True
     slots = candidate.endpoint.registration.slots
     free = slots - estimated_work(load, now_s)
     if free >= min(AMPLE_FREE_SLOTS, slots // 2 + 1):
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -6,7 +6,12 @@
 import attrs
 import curio
 
-from camphorstair.fleet import endpoint_choice, quarantine_checks, state
+from camphorstair.fleet import (
+    endpoint_choice,
+    quarantine_checks,
+    slot_asking,
+    state,
+)
 from camphorstair_core import errors, verdicts
 from camphorstair_core.fleet import (
     endpoint_terms,
@@ -61,19 +66,24 @@
     :ivar entry: The entry's state.
     :ivar quarantines: Refuses requests that crash endpoints.
     :ivar choice: Decides which endpoints may be used.
+    :ivar slot_asker: Asks agents for slots while requests wait.
     :ivar pending_requests: The queued requests by their entry in the queue.
     """
 
     entry: state.FleetEntry
     quarantines: quarantine_checks.QuarantineCheck
     choice: endpoint_choice.EndpointChoice = attrs.field(init=False)
+    slot_asker: slot_asking.SlotAsker = attrs.field(init=False)
     pending_requests: dict[waiting.Waiter, PendingRequest] = attrs.field(
         factory=dict
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the choice of endpoints."""
+        """Create the choice of endpoints and the task that asks for slots."""
         self.choice = endpoint_choice.EndpointChoice(self.entry)
+        self.slot_asker = slot_asking.SlotAsker(
+            self.entry, self.choice, self.serve_queue
+        )
 
     async def acquire(
         self,
@@ -194,7 +204,9 @@
                 await pending.decided.set()
                 free = self.choice.free(service, free, now_s)
             if not free:
-                return
+                break
+        if queue.waiters:
+            await self.slot_asker.ask(service, usable)
 
     def _check_service(
         self,
--- a/packages/entry/src/camphorstair/fleet/endpoint_choice.py
+++ b/packages/entry/src/camphorstair/fleet/endpoint_choice.py
@@ -9,6 +9,7 @@
     placement,
     request_limits,
     roster,
+    slot_requests,
     waiting,
     windows,
 )
@@ -78,7 +79,25 @@
         return [
             candidate
             for candidate in candidates
-            if self._can_send(service, candidate, now_s)
+            if placement.has_free_slot(candidate, now_s)
+            and self._allows_request(service, candidate, now_s)
+        ]
+
+    def lending(
+        self,
+        service: str,
+        candidates: list[placement.Candidate],
+        now_s: float,
+    ) -> list[placement.Candidate]:
+        """Return the endpoints that only lack a slot for this entry.
+
+        Their reports show free slots, which other entries own.
+        """
+        return [
+            candidate
+            for candidate in candidates
+            if slot_requests.lends_slot(candidate, now_s)
+            and self._allows_request(service, candidate, now_s)
         ]
 
     def stalling_ranks(self, service: str) -> list[placement.Candidate]:
@@ -97,6 +116,9 @@
     def count_sent(self, candidate: placement.Candidate, now_s: float) -> None:
         """Count a request that is sent to an endpoint."""
         candidate.load.running += 1
+        if placement.has_grant(candidate.load, now_s):
+            candidate.load.grant_deadline_s = 0
+            self.entry.meters.slot_grants.add(1, {'outcome': 'used'})
         request_limits.count_sent(
             candidate.terms.limit, candidate.sharing(), now_s
         )
@@ -121,13 +143,13 @@
             allowed, entry.settings.data_centre, now_s, entry.generator
         )
 
-    def _can_send(
+    def _allows_request(
         self,
         service: str,
         candidate: placement.Candidate,
         now_s: float,
     ) -> bool:
-        """Return whether an endpoint can be sent one more request now.
+        """Return whether an endpoint with a slot can be sent a request now.
 
         An endpoint that was ejected gets one request of this entry at a
         time until it answers; a cold one, which registered a short time ago,
@@ -135,8 +157,6 @@
         """
         if not endpoint_terms.may_send(candidate.terms, now_s):
             return False
-        if not placement.has_free_slot(candidate, now_s):
-            return False
         if ejection.is_recovering(candidate.health) and candidate.load.running:
             return False
         if now_s >= candidate.endpoint.cold_deadline_s:
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -14,6 +14,7 @@
         them.
     :ivar ejections: Ejections of endpoints after failures.
     :ivar crashes: Requests whose endpoint crashed before it answered.
+    :ivar slot_grants: Slots that agents granted, by outcome.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
@@ -25,6 +26,7 @@
     retries: metrics_api.Counter
     ejections: metrics_api.Counter
     crashes: metrics_api.Counter
+    slot_grants: metrics_api.Counter
     queued_s: metrics_api.Histogram
     first_part_s: metrics_api.Histogram
 
@@ -37,6 +39,7 @@
         meter.create_counter('camphorstair_repeats'),
         meter.create_counter('camphorstair_ejections'),
         meter.create_counter('camphorstair_crashes'),
+        meter.create_counter('camphorstair_slot_grants'),
         meter.create_histogram('camphorstair_queued_seconds'),
         meter.create_histogram('camphorstair_first_part_seconds'),
     )
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -133,6 +133,7 @@
             group,
             process.follower.run,
             sensing.LoadListener(entry, dispatcher).run,
+            dispatcher.slot_asker.run,
             process.joining.run,
             process.crash_reporter.run,
             functools.partial(_run_periodic_work, process),
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -16,6 +16,9 @@
 COPY_PATH = '/copy'
 # Longest datagram that is read whole.
 MAX_DATAGRAM_BYTES = 2048
+# Port on which agents receive ``SlotRequest``, counted from the first internal
+# port, which the planners' calls use.
+SLOT_PORT_OFFSET = 1
 
 Message = typing.TypeVar('Message')
 
@@ -71,6 +74,39 @@
     is_open: bool
 
 
+@attrs.frozen
+class SlotRequest:
+    """A datagram in which an entry asks an agent for a slot of its engine.
+
+    :ivar number: Number of the request, which a grant repeats.
+    :ivar address: ``IP:port`` of the engine.
+    :ivar entry: Name of the entry.
+    :ivar tier: Tier of the entry's most urgent waiting request; 0 is the most
+        urgent.
+    :ivar wanted: Number of the entry's waiting requests.
+    """
+
+    number: int
+    address: str
+    entry: str
+    tier: int
+    wanted: int
+
+
+@attrs.frozen
+class SlotGrant:
+    """The reply to a ``SlotRequest``, for one slot; a refusal has no reply.
+
+    :ivar number: Number of the request.
+    :ivar address: ``IP:port`` of the engine.
+    :ivar valid_s: For how long the slot may be used.
+    """
+
+    number: int
+    address: str
+    valid_s: float
+
+
 @attrs.frozen
 class RankState:
     """The state of a rank, sent by its agent to the planner.
