Test the slot grants and ask one engine more than requests wait

Cause: asking only as many engines as requests wait left requests waiting for longer than two report intervals beside a free slot: an agent that refuses does not reply, and the next round comes 50 ms later.

--- a/packages/core/src/camphorstair_core/fleet/slot_requests.py
+++ b/packages/core/src/camphorstair_core/fleet/slot_requests.py
@@ -20,6 +20,9 @@
 
 # Engines that an entry asks in one round.
 MAX_ASKED = 4
+# Engines asked beyond the number of waiting requests: a report may be out of
+# date, and an agent that refuses does not reply.
+SPARE_ASKED = 1
 # Shortest time between two rounds of an entry, and so also between two requests
 # to the same engine.
 INTERVAL_S = 0.05
@@ -83,7 +86,7 @@
 ) -> list[Asked]:
     """Return the requests to send in a round that begins now.
 
-    There are at most as many as requests wait, because an unused grant keeps a
+    Hardly more are sent than requests wait, because an unused grant keeps a
     slot idle. The endpoints with the most free slots are asked first.
 
     :param requests: The sent requests, to which those returned are added.
@@ -97,7 +100,7 @@
     generator.shuffle(useful)
     useful.sort(key=lambda row: _free_slots(row, now_s), reverse=True)
     sent = []
-    for candidate in useful[: min(MAX_ASKED, len(waiters))]:
+    for candidate in useful[: min(MAX_ASKED, len(waiters) + SPARE_ASKED)]:
         requests.last_number += 1
         asked = Asked(requests.last_number, candidate, now_s)
         # A grant for an earlier request to this endpoint comes too late: the
--- a/tests/test_supervising.py
+++ b/tests/test_supervising.py
@@ -13,6 +13,8 @@
 
 KINDS = (
     internal_messages.EngineLoad,
+    internal_messages.SlotRequest,
+    internal_messages.SlotGrant,
     internal_messages.RankCall,
     internal_messages.RankReply,
     internal_messages.CopyCall,
