--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -10,6 +10,7 @@
     endpoint_choice,
     quarantine_checks,
     ranked_queues,
+    slot_asking,
     state,
 )
 from camphorstair_core import errors, verdicts
@@ -74,6 +75,7 @@
     :ivar quarantines: Refuses requests that crash endpoints.
     :ivar choice: Decides which endpoints may be used.
     :ivar ranked: Orders and refuses the requests of ranked services.
+    :ivar slot_asker: Asks agents for slots while requests wait.
     :ivar pending_requests: The queued requests by their entry in the queue.
     """
 
@@ -81,16 +83,20 @@
     quarantines: quarantine_checks.QuarantineCheck
     choice: endpoint_choice.EndpointChoice = attrs.field(init=False)
     ranked: ranked_queues.RankedQueues = attrs.field(init=False)
+    slot_asker: slot_asking.SlotAsker = attrs.field(init=False)
     pending_requests: dict[waiting.Waiter, PendingRequest] = attrs.field(
         factory=dict
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the choice of endpoints and the ranked queues."""
+        """Create the parts of which each needs the entry's state."""
         self.choice = endpoint_choice.EndpointChoice(self.entry)
         self.ranked = ranked_queues.RankedQueues(
             self.entry.generator, self.entry.meters
         )
+        self.slot_asker = slot_asking.SlotAsker(
+            self.entry, self.choice, self.serve_queue
+        )
 
     async def acquire(
         self,
@@ -238,7 +244,9 @@
                 await pending.decided.set()
                 free = self.choice.free(service, free, now_s)
             if not free:
-                return
+                break
+        if queue.waiters:
+            await self.slot_asker.ask(service, usable)
 
     def _ordered(
         self,
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -18,6 +18,7 @@
         by cause and priority.
     :ivar start_error_s: Time that a request of a ranked service waited beyond
         the estimate at its arrival, in seconds; negative if less.
+    :ivar slot_grants: Slots that agents granted, by outcome.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
@@ -31,6 +32,7 @@
     crashes: metrics_api.Counter
     queue_refusals: metrics_api.Counter
     start_error_s: metrics_api.Histogram
+    slot_grants: metrics_api.Counter
     queued_s: metrics_api.Histogram
     first_part_s: metrics_api.Histogram
 
@@ -45,6 +47,7 @@
         meter.create_counter('camphorstair_crashes'),
         meter.create_counter('camphorstair_queue_refusals'),
         meter.create_histogram('camphorstair_start_estimate_error_seconds'),
+        meter.create_counter('camphorstair_slot_grants'),
         meter.create_histogram('camphorstair_queued_seconds'),
         meter.create_histogram('camphorstair_first_part_seconds'),
     )
