HTTP: let writes of answers and requests be replaced

Cause: what a peer does not read can only be held outside of the socket. Change: Responder.write and the write argument of http_client.send replace sendall; check_length is shared with readers of whole bodies. Result: without them the same calls are made as before.

--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -2,6 +2,7 @@
 
 import http
 import typing
+from collections import abc
 
 import attrs
 import curio
@@ -93,11 +94,7 @@
         chunk = await self.read()
         while chunk is not None:
             body.extend(chunk)
-            if len(body) > MAX_BODY_BYTES:
-                raise HttpError(
-                    f'the body is longer than {MAX_BODY_BYTES} bytes',
-                    sent=True,
-                )
+            check_length(len(body))
             chunk = await self.read()
         return bytes(body)
 
@@ -127,6 +124,17 @@
             raise HttpError('the answer does not tell its length', sent=True)
 
 
+def check_length(size_bytes: int) -> None:
+    """Reject a body that is too long to be kept in memory.
+
+    :raises HttpError: if it is longer than ``MAX_BODY_BYTES``.
+    """
+    if size_bytes > MAX_BODY_BYTES:
+        raise HttpError(
+            f'the body is longer than {MAX_BODY_BYTES} bytes', sent=True
+        )
+
+
 async def open_exchange(
     address: str,
     request: http_messages.Request,
@@ -276,17 +284,20 @@
     exchange: Exchange,
     host: str,
     request: http_messages.Request,
+    write: abc.Callable[[bytes], abc.Awaitable[None]] | None = None,
 ) -> None:
     """Send a request.
 
     :param exchange: An exchange whose connection is idle.
     :param host: Value of the host header.
     :param request: The request.
+    :param write: Writes in place of the socket and raises ``OSError`` like it.
     :raises HttpError: if sending fails; part or all of the request may have
         reached the server.
     """
+    write = write or exchange.sock.sendall
     try:
-        await exchange.sock.sendall(_encode_request(exchange, host, request))
+        await write(_encode_request(exchange, host, request))
     except OSError as error:
         raise HttpError(f'send to {host}: {error}', sent=True) from error
 
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -22,6 +22,7 @@
     [http_messages.Request, 'Responder'],
     abc.Awaitable[None],
 ]
+Write = abc.Callable[[bytes], abc.Awaitable[None]]
 
 
 class Disconnected(Exception):
@@ -41,6 +42,8 @@
     :ivar closing: Whether the connection is closed after this response.
     :ivar partially_sent: Whether the last send is not complete (in progress
         or interrupted), so that only a part of it may have been sent.
+    :ivar write: Writes to the caller in place of the socket, in order and
+        raising ``OSError`` like it; None to use the socket.
     """
 
     sock: curio.io.Socket
@@ -48,6 +51,7 @@
     started: bool = False
     closing: bool = False
     partially_sent: bool = False
+    write: Write | None = None
 
     async def start(
         self,
@@ -99,8 +103,9 @@
 
     async def _send(self, event: h11.Event) -> None:
         self.partially_sent = True
+        write = self.write or self.sock.sendall
         try:
-            await self.sock.sendall(self.protocol.send(event) or b'')
+            await write(self.protocol.send(event) or b'')
         except OSError as error:
             raise Disconnected(str(error)) from error
         self.partially_sent = False
