Hold what slow peers do not read, within bounds

Cause: an endpoint cuts an answer whose caller reads slowly, since the entry reads on only after the caller has read.

--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -10,6 +10,7 @@
     attempt_errors,
     calls,
     connections,
+    holding,
     state,
     stream_relaying,
 )
@@ -164,7 +165,7 @@
         )
         host = call.request.header('host')
         call.sent = True
-        await http_client.send(exchange, host, forwarded)
+        await holding.send(call.held, exchange, host, forwarded)
         await http_client.read_head(exchange, forwarded)
         for _ in range(MAX_MISMATCHED_ANSWERS):
             answer = headers.decode_answer(exchange.status, exchange.headers)
@@ -210,7 +211,7 @@
         if self.call.streaming():
             await self._relay_stream(exchange)
         else:
-            whole = await _read_response(exchange)
+            whole = await _read_response(exchange, self.call.held)
             self.first_part_s = clocks.monotonic_s()
             self.progress.note_complete()
             await self.call.responder.respond(whole)
@@ -225,7 +226,7 @@
         whole = None
         if not answer.not_run:
             verdict = verdicts.Verdict.ran
-            whole = await _read_response(exchange)
+            whole = await _read_response(exchange, self.call.held)
         raise attempt_errors.AttemptError(
             f'status {answer.status}',
             verdict,
@@ -257,8 +258,12 @@
 
 async def _read_response(
     exchange: http_client.Exchange,
+    held: holding.Holding | None,
 ) -> http_messages.Response:
     """Read the whole body and return the response for the caller."""
-    body = await exchange.read_all()
+    if held is None:
+        body = await exchange.read_all()
+    else:
+        body = await held.read_whole(exchange)
     response_headers = headers.for_caller(exchange.headers)
     return http_messages.Response(exchange.status, response_headers, body)
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from camphorstair.fleet import holding
 from camphorstair_core import verdicts
 from camphorstair_core.fleet import (
     catalogue,
@@ -32,6 +33,7 @@
     :ivar deadline_s: Time by which the answer must be complete.
     :ivar waiter: Its entry in the service's queue.
     :ivar stream: The events that were sent to the caller so far.
+    :ivar held: What is held for slow peers; None if it is not bounded.
     :ivar attempts: Number of finished attempts that sent the request.
     :ivar sent: Whether the current attempt has begun to send the request and
         has not failed.
@@ -51,6 +53,7 @@
     deadline_s: float
     waiter: waiting.Waiter
     stream: stream_progress.StreamProgress
+    held: holding.Holding | None = None
     attempts: int = 0
     sent: bool = False
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: authorizes, routes and answers them."""
 
 import logging
+from collections import abc
 
 import attrs
 import curio
@@ -10,6 +11,7 @@
 from camphorstair_core.fleet import (
     catalogue,
     content_age,
+    held_bytes,
     stream_progress,
     waiting,
 )
@@ -56,13 +58,34 @@
             return
         remaining_s = call.deadline_s - clocks.monotonic_s()
         limit_s = remaining_s + ENDPOINT_GRACE_S
+        forward = self._forward
+        if self.entry.settings.bounds_slow_peers:
+            forward = self._forward_bounded
         try:
-            await curio.timeout_after(limit_s, self._forward, call)
+            await curio.timeout_after(limit_s, forward, call)
         except curio.TaskTimeout:
             await self._refuse(request, responder, self._timeout_error(call))
         except errors.RequestError as failure:
             await self._refuse(request, responder, failure)
 
+    async def _forward_bounded(self, call: calls.Call) -> None:
+        """Forward a request and bound what is held for slow peers.
+
+        :raises errors.RequestError: if it fails.
+        :raises http_server.Disconnected: if the caller disconnects or the
+            answer was ended.
+        """
+        account = held_bytes.Account(
+            call.waiter.priority, call.route.repeatable()
+        )
+        call.held = self.entry.held.open(
+            call.caller_headers.attempt, account, call.responder
+        )
+        try:
+            await self._forward(call)
+        finally:
+            await call.held.close()
+
     async def _forward(self, call: calls.Call) -> None:
         """Forward a request until it ends or the caller disconnects.
 
@@ -74,7 +97,7 @@
         )
         async with curio.TaskGroup(wait=any) as group:
             running = await group.spawn(_run_to_outcome, request_forwarding)
-            await group.spawn(call.responder.wait_disconnected)
+            await group.spawn(_wait_disconnected, call)
         if running.cancelled:
             raise http_server.Disconnected('the caller has disconnected')
         if running.exception is not None:
@@ -270,15 +293,41 @@
     return waiting.Waiter(name, priority, now_s)
 
 
+async def _wait_disconnected(call: calls.Call) -> None:
+    """Return when the caller has closed the connection.
+
+    Never return if the endpoint's answer is to be read to its end although it
+    was ended.
+    """
+    await call.responder.wait_disconnected()
+    if call.held is not None and call.held.reads_on():
+        await curio.Event().wait()
+
+
 async def _run_to_outcome(
     request_forwarding: forwarding.Forwarding,
 ) -> Exception | None:
     """Run a forwarding; return an expected error rather than raising it.
 
+    Bytes that are held for the caller are sent even after an error, so that it
+    can resume after the last event that its endpoint has sent.
+    """
+    outcome = await _outcome(request_forwarding.run)
+    held = request_forwarding.call.held
+    if held is None or isinstance(outcome, http_server.Disconnected):
+        return outcome
+    return await _outcome(held.drain) or outcome
+
+
+async def _outcome(
+    step: abc.Callable[[], abc.Awaitable[None]],
+) -> Exception | None:
+    """Run a step; return an expected error rather than raising it.
+
     Curio logs a traceback for each task that raises.
     """
     try:
-        await request_forwarding.run()
+        await step()
     except (errors.RequestError, http_server.Disconnected) as failure:
         return failure
     return None
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from camphorstair.fleet import connections, crash_state, instruments
+from camphorstair.fleet import (
+    connections,
+    crash_state,
+    holding,
+    instruments,
+)
 from camphorstair_core import caller_limits
 from camphorstair_core.fleet import (
     catalogue,
@@ -55,6 +60,7 @@
         another one.
     :ivar connection_pool: Pool of idle connections to endpoints.
     :ivar crashes: What is known of endpoints that crash under requests.
+    :ivar held: What is held for peers that read slowly.
     :ivar leaving: Whether the entry is shutting down.
     :ivar refuse_from_s: When a shutdown begins to refuse new requests, as there
         may be too little time left for their answers; monotonic clock.
@@ -83,6 +89,9 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    held: holding.HeldAnswers = attrs.Factory(
+        lambda entry: holding.within(entry.settings.memory_mb), takes_self=True
+    )
     leaving: bool = False
     refuse_from_s: float = math.inf
     _shares: dict[str, subsetting.SharesByEndpoint] = attrs.field(factory=dict)
--- a/packages/entry/src/camphorstair/fleet/stream_relaying.py
+++ b/packages/entry/src/camphorstair/fleet/stream_relaying.py
@@ -41,7 +41,7 @@
             too long.
         """
         resumed = self.call.responder.started
-        chunk = await self.exchange.read()
+        chunk = await self._read()
         while chunk is not None:
             events = self.splitter.feed(chunk)
             if events:
@@ -50,7 +50,7 @@
                     self.call.stream.take(events, resumed=resumed)
                 )
             self._check_event_length()
-            chunk = await self.exchange.read()
+            chunk = await self._read()
 
     async def finish(self) -> None:
         """End the stream to the caller; one without events has a head only.
@@ -71,6 +71,12 @@
         await self._start()
         await self.call.responder.finish()
 
+    async def _read(self) -> bytes | None:
+        """Read on, after the caller has left room if that is bounded."""
+        if self.call.held is not None:
+            await self.call.held.wait_room()
+        return await self.exchange.read()
+
     def _check_event_length(self) -> None:
         if len(self.splitter.pending) > MAX_EVENT_BYTES:
             raise http_client.HttpError(
