Tell engines of ranked services the priority of a request

Cause: engines admit their waiting requests by priority, but were told none, so an urgent request queued behind others at its engine.

Change: engine_priorities.engine_priority maps a tier to 0 to 9. Attempts to a ranked service send it as X-Camphorstair-Request-Priority; the tier is twice the request's priority until the ranked order computes it. All other services get the same headers as before.

--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -17,6 +17,7 @@
 from camphorstair_core.fleet import (
     crash_reports,
     endpoint_terms,
+    engine_priorities,
     placement,
 )
 from camphorstair_platform import headers
@@ -157,6 +158,7 @@
             call.deadline_s - clocks.monotonic_s(),
             call.organisation,
             call.stream.last_event,
+            self._engine_priority(),
         )
         forwarded = attrs.evolve(
             call.request,
@@ -178,6 +180,13 @@
             'the answers belong to other requests', sent=True
         )
 
+    def _engine_priority(self) -> int | None:
+        """Return the request's priority at its engine; None to send none."""
+        if not self.entry.is_ranked(self.call.service):
+            return None
+        tier = 2 * self.call.waiter.priority
+        return engine_priorities.engine_priority(tier)
+
     def _record_load(self, answer: headers.AnswerHeaders) -> None:
         """Record the load that an answer reports, if it reports one."""
         if answer.running is None:
