Place requests of ranked services by the memory of engines

Cause: an engine whose KV cache is full interrupts running requests. Entries chose engines by free slots only.

Change: agents send kv_used along with the loads that they send anyway, and entries record it with the tokens sent since. For a ranked service whose profile has a KV capacity, an engine without room for a request is no candidate. One usual request of another entry is left room for. A request that is larger than the whole memory, and one without a recent report, are placed as before. A report of an older agent decodes without kv_used.

--- a/packages/agent/src/camphorstair_agent/fleet/sensing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/sensing.py
@@ -25,7 +25,8 @@
 
     :ivar agent: The agent's state, whose ``report`` is updated.
     :ivar calls: Connection to the engine.
-    :ivar last_sent: The last message sent; None before the first.
+    :ivar last_sent: The last message sent, without the memory in use; None
+        before the first.
     :ivar repeat_deadline_s: When the last message is to be repeated even if
         nothing has changed; monotonic clock.
     """
@@ -66,7 +67,8 @@
     ) -> None:
         """Send a report that has changed or is due to be repeated.
 
-        Send errors are only logged.
+        The memory in use changes with each token, so it is sent only along
+        with another change. Send errors are only logged.
         """
         engine_load = internal_messages.EngineLoad(
             self.agent.settings.engine_address,
@@ -80,7 +82,9 @@
             return
         self.last_sent = engine_load
         self.repeat_deadline_s = now_s + MAX_SILENCE_S
-        message = internal_messages.encode(engine_load)
+        message = internal_messages.encode(
+            attrs.evolve(engine_load, kv_used=report.kv_used)
+        )
         for member in self.agent.selected_entries():
             address = settings.split_address(member.internal_address)
             try:
--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -51,6 +51,11 @@
     :ivar is_open: Whether the endpoint's rank group worked, by that report.
     :ivar pace: The endpoint's slowdown factor in that report; 1 is its usual
         speed.
+    :ivar kv_reported: Tokens in the engine's memory, by the last report that
+        states them.
+    :ivar kv_reported_s: When that report arrived; 0 if none has.
+    :ivar kv_sent: For each request sent since that report, when it was sent
+        and the tokens that it needs.
     """
 
     running: int = 0
@@ -60,6 +65,9 @@
     waiting: int = 0
     is_open: bool = True
     pace: float = 1.0
+    kv_reported: int = 0
+    kv_reported_s: float = 0
+    kv_sent: list[tuple[float, float]] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -188,7 +188,7 @@
             candidate = self.choice.choose(free, waiter, now_s)
             if candidate is not None:
                 waiting.start(queue, waiter)
-                self.choice.count_sent(candidate, now_s)
+                self.choice.count_sent(candidate, waiter, now_s)
                 pending = self.pending_requests[waiter]
                 pending.granted = candidate
                 await pending.decided.set()
--- a/packages/entry/src/camphorstair/fleet/endpoint_choice.py
+++ b/packages/entry/src/camphorstair/fleet/endpoint_choice.py
@@ -4,8 +4,10 @@
 
 from camphorstair.fleet import state
 from camphorstair_core.fleet import (
+    catalogue,
     ejection,
     endpoint_terms,
+    memory_placement,
     placement,
     request_limits,
     roster,
@@ -94,7 +96,12 @@
             return slow
         return []
 
-    def count_sent(self, candidate: placement.Candidate, now_s: float) -> None:
+    def count_sent(
+        self,
+        candidate: placement.Candidate,
+        waiter: waiting.Waiter,
+        now_s: float,
+    ) -> None:
         """Count a request that is sent to an endpoint."""
         candidate.load.running += 1
         request_limits.count_sent(
@@ -103,6 +110,11 @@
         if now_s < candidate.endpoint.cold_deadline_s:
             name = candidate.endpoint.registration.endpoint
             self.entry.cold_window(name).add(now_s)
+        profile = self._bounded_engine([candidate])
+        if profile is not None:
+            memory_placement.record_sent(
+                candidate.load, profile, waiter.kv_tokens, now_s
+            )
 
     def choose(
         self,
@@ -110,17 +122,48 @@
         waiter: waiting.Waiter,
         now_s: float,
     ) -> placement.Candidate | None:
-        """Return the best endpoint that a request may use, or None."""
+        """Return the best endpoint that a request may use, or None.
+
+        An engine of a ranked service must have memory for the request.
+        """
         allowed = [
             candidate
             for candidate in free
             if candidate.endpoint.registration.endpoint not in waiter.excluded
         ]
+        profile = self._bounded_engine(allowed)
+        if profile is not None:
+            allowed = [
+                candidate
+                for candidate in allowed
+                if memory_placement.fits(
+                    candidate, profile, waiter.kv_tokens, now_s
+                )
+            ]
         entry = self.entry
         return placement.choose(
             allowed, entry.settings.data_centre, now_s, entry.generator
         )
 
+    def _bounded_engine(
+        self, candidates: list[placement.Candidate]
+    ) -> catalogue.EngineProfile | None:
+        """Return the profile of engines that are chosen by their memory.
+
+        :param candidates: Endpoints of one service.
+        :returns: None if the service is not ranked or its engines' memory is
+            not known.
+        """
+        configuration = self.entry.configuration
+        if not candidates or configuration is None:
+            return None
+        service = candidates[0].endpoint.registration.service
+        configured = configuration.services.get(service)
+        profile = configured.engine if configured else None
+        if profile is None or profile.kv_tokens <= 0:
+            return None
+        return profile if configuration.is_ranked(service) else None
+
     def _can_send(
         self,
         service: str,
@@ -151,8 +194,10 @@
         :param place: The place of this entry among those that use the endpoint.
         """
         bounds = self.entry.settings.bounds
-        catalogue = self.entry.configuration
-        configured = catalogue.services.get(service) if catalogue else None
+        configuration = self.entry.configuration
+        configured = (
+            configuration.services.get(service) if configuration else None
+        )
         return windows.cold_limit(
             configured.cold_per_s if configured else 0,
             bounds.cold_factor,
--- a/packages/entry/src/camphorstair/fleet/sensing.py
+++ b/packages/entry/src/camphorstair/fleet/sensing.py
@@ -7,7 +7,7 @@
 import curio
 
 from camphorstair.fleet import dispatch, state
-from camphorstair_core.fleet import placement, roster
+from camphorstair_core.fleet import memory_placement, placement, roster
 from camphorstair_fleet import internal_messages
 from camphorstair_runtime import clocks
 
@@ -50,12 +50,14 @@
         if endpoint is None:
             return
         candidate = self.entry.candidate(endpoint)
+        now_s = clocks.monotonic_s()
         placement.record_report(
-            candidate.load,
-            message.running,
-            message.waiting,
-            clocks.monotonic_s(),
+            candidate.load, message.running, message.waiting, now_s
         )
+        if message.kv_used is not None:
+            memory_placement.record_report(
+                candidate.load, message.kv_used, now_s
+            )
         candidate.load.is_open = message.is_open
         candidate.load.pace = message.pace
         await self.dispatcher.serve_queue(endpoint.registration.service)
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -62,6 +62,8 @@
     :ivar waiting: Number of requests that wait at the engine.
     :ivar pace: Factor by which the engine is slower than usual; 1 is usual.
     :ivar is_open: Whether its rank group serves requests.
+    :ivar kv_used: Tokens in its memory that can't be evicted; None if its agent
+        is of a version that does not send them.
     """
 
     address: str
@@ -69,6 +71,7 @@
     waiting: int
     pace: float
     is_open: bool
+    kv_used: int | None = None
 
 
 @attrs.frozen
