--- a/packages/core/src/camphorstair_core/fleet/placement.py
+++ b/packages/core/src/camphorstair_core/fleet/placement.py
@@ -56,6 +56,11 @@
         speed.
     :ivar grant_deadline_s: Until when this entry may send one request more, as
         the agent has granted it a slot; 0 if it has not.
+    :ivar kv_reported: Tokens in the engine's memory, by the last report that
+        states them.
+    :ivar kv_reported_s: When that report arrived; 0 if none has.
+    :ivar kv_sent: For each request sent since that report, when it was sent
+        and the tokens that it needs.
     """
 
     running: int = 0
@@ -66,6 +71,9 @@
     is_open: bool = True
     pace: float = 1.0
     grant_deadline_s: float = 0
+    kv_reported: int = 0
+    kv_reported_s: float = 0
+    kv_sent: list[tuple[float, float]] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
--- a/packages/core/src/camphorstair_core/fleet/slot_requests.py
+++ b/packages/core/src/camphorstair_core/fleet/slot_requests.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from camphorstair_core.fleet import placement, waiting
+from camphorstair_core.fleet import placement, ranked_order, waiting
 
 # Engines that an entry asks in one round.
 MAX_ASKED = 4
@@ -26,8 +26,6 @@
 # Shortest time between two rounds of an entry, and so also between two requests
 # to the same engine.
 INTERVAL_S = 0.05
-# Time before its latest useful start in which a late request is urgent again.
-LAST_CHANCE_S = 0.5
 
 
 @attrs.frozen
@@ -162,16 +160,7 @@
 
 def most_urgent_tier(waiters: list[waiting.Waiter], now_s: float) -> int:
     """Return the lowest tier of the waiting requests; 0 is the most urgent."""
-    return min(_tier(waiter, now_s) for waiter in waiters)
-
-
-def _tier(waiter: waiting.Waiter, now_s: float) -> int:
-    """Return the tier: lower for urgent, timely and soon hopeless requests."""
-    if now_s <= waiter.latest_timely_start_s:
-        return 2 * waiter.priority
-    if now_s >= waiter.latest_useful_start_s - LAST_CHANCE_S:
-        return 2 * waiter.priority + 1
-    return 2 * waiter.priority + 3
+    return min(ranked_order.tier(waiter, now_s) for waiter in waiters)
 
 
 def _free_slots(candidate: placement.Candidate, now_s: float) -> float:
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -238,7 +238,7 @@
                 waiting.start(queue, waiter)
                 if queue.is_ranked:
                     self.ranked.note_start(service, queue, waiter, now_s)
-                self.choice.count_sent(candidate, now_s)
+                self.choice.count_sent(candidate, waiter, now_s)
                 pending = self.pending_requests[waiter]
                 pending.granted = candidate
                 await pending.decided.set()
