--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -17,7 +17,6 @@
 from camphorstair_core.fleet import (
     endpoint_terms,
     placement,
-    ranked_refusals,
     roster,
     waiting,
 )
@@ -92,7 +91,7 @@
         """Create the parts of which each needs the entry's state."""
         self.choice = endpoint_choice.EndpointChoice(self.entry)
         self.ranked = ranked_queues.RankedQueues(
-            self.entry.generator, self.entry.meters
+            self.entry.generator, self.entry.meters, self._drop
         )
         self.slot_asker = slot_asking.SlotAsker(
             self.entry, self.choice, self.serve_queue
@@ -115,47 +114,9 @@
             return await self._acquire(service, waiter)
         except errors.RequestError as refusal:
             if self.entry.is_ranked(service):
-                self.ranked.note_refused(
-                    waiter, refusal.retry_after_s or 0, clocks.monotonic_s()
-                )
+                self.ranked.note_refused(waiter, refusal)
             raise
 
-    async def _acquire(
-        self,
-        service: str,
-        waiter: waiting.Waiter,
-    ) -> placement.Candidate:
-        if self.choice.usable(service):
-            await self.quarantines.claim_trials(waiter)
-        self.quarantines.check(waiter)
-        usable = self.choice.usable(service)
-        await self._make_room(service, waiter)
-        self._check_service(service, waiter, usable)
-        pending = PendingRequest(waiter)
-        queue = self.entry.queue(service)
-        queue.waiters.append(waiter)
-        self.pending_requests[waiter] = pending
-        await self._grant(service, usable)
-        try:
-            if queue.is_ranked and waiter in queue.waiters:
-                await self._estimate_start(service, queue, pending)
-            await pending.decided.wait()
-        finally:
-            self.pending_requests.pop(waiter, None)
-            if waiter in queue.waiters:
-                queue.waiters.remove(waiter)
-        if pending.refusal is not None:
-            raise pending.refusal
-        if pending.granted is None:
-            self.quarantines.check(waiter)
-            self._check_terms(waiter, self.choice.usable(service), 0)
-            raise self._expiry(service, waiter)
-        if pending.expected_start_s is not None:
-            self.entry.meters.start_error_s.record(
-                clocks.monotonic_s() - pending.expected_start_s
-            )
-        return pending.granted
-
     async def release(
         self,
         service: str,
@@ -190,10 +151,7 @@
             await self.pending_requests[waiter].decided.set()
         if queue.waiters:
             await self._grant(service, usable)
-        if queue.is_ranked:
-            self.ranked.note_queue(service, queue, now_s)
-        if self.ranked.check_is_due(service, queue, now_s):
-            await self._refuse_unservable(service, queue)
+        await self.ranked.check(service, queue)
 
     def refusal(
         self,
@@ -220,6 +178,56 @@
         spread = self.entry.generator.uniform(1, RETRY_SPREAD)
         return errors.RequestError(code, message, retry_after_s=base_s * spread)
 
+    async def _acquire(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+    ) -> placement.Candidate:
+        if self.choice.usable(service):
+            await self.quarantines.claim_trials(waiter)
+        self.quarantines.check(waiter)
+        usable = self.choice.usable(service)
+        queue = self.entry.queue(service)
+        if len(queue.waiters) >= MAX_QUEUED_REQUESTS:
+            await self.ranked.make_room(service, queue, waiter)
+        self._check_service(service, waiter, usable)
+        pending = PendingRequest(waiter)
+        queue.waiters.append(waiter)
+        self.pending_requests[waiter] = pending
+        await self._grant(service, usable)
+        try:
+            if waiter in queue.waiters:
+                pending.expected_start_s = await self.ranked.expect_start(
+                    service, queue, waiter
+                )
+            await pending.decided.wait()
+        finally:
+            self.pending_requests.pop(waiter, None)
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
+        return self._granted(service, pending)
+
+    def _granted(
+        self,
+        service: str,
+        pending: PendingRequest,
+    ) -> placement.Candidate:
+        """Return the endpoint assigned to a request.
+
+        :raises errors.RequestError: if the request was dropped from the queue.
+        """
+        if pending.refusal is not None:
+            raise pending.refusal
+        if pending.granted is None:
+            self.quarantines.check(pending.waiter)
+            self._check_terms(pending.waiter, self.choice.usable(service), 0)
+            raise self._expiry(service, pending.waiter)
+        if pending.expected_start_s is not None:
+            self.entry.meters.start_error_s.record(
+                clocks.monotonic_s() - pending.expected_start_s
+            )
+        return pending.granted
+
     async def _grant(
         self,
         service: str,
@@ -231,13 +239,12 @@
         free = self.choice.free(service, usable, now_s)
         # Under load most calls find no free endpoint, so the queue is sorted
         # only after this check.
-        waiters = self._ordered(service, queue, now_s) if free else []
+        waiters = self.ranked.ordered(service, queue, now_s) if free else []
         for waiter in waiters:
             candidate = self.choice.choose(free, waiter, now_s)
             if candidate is not None:
                 waiting.start(queue, waiter)
-                if queue.is_ranked:
-                    self.ranked.note_start(service, queue, waiter, now_s)
+                self.ranked.note_start(service, queue, waiter, now_s)
                 self.choice.count_sent(candidate, waiter, now_s)
                 pending = self.pending_requests[waiter]
                 pending.granted = candidate
@@ -248,62 +255,6 @@
         if queue.waiters:
             await self.slot_asker.ask(service, usable)
 
-    def _ordered(
-        self,
-        service: str,
-        queue: waiting.Queue,
-        now_s: float,
-    ) -> list[waiting.Waiter]:
-        if queue.is_ranked:
-            return self.ranked.ordered(service, queue, now_s)
-        return waiting.sorted_waiters(queue, now_s)
-
-    async def _estimate_start(
-        self,
-        service: str,
-        queue: waiting.Queue,
-        pending: PendingRequest,
-    ) -> None:
-        """Estimate when a request that has to wait starts.
-
-        Requests of its queue that can't start in time are refused.
-        """
-        now_s = clocks.monotonic_s()
-        self.ranked.note_queue(service, queue, now_s)
-        pending.expected_start_s = self.ranked.expected_start_s(
-            service, queue, pending.waiter, now_s
-        )
-        await self._refuse_unservable(service, queue)
-
-    async def _refuse_unservable(
-        self,
-        service: str,
-        queue: waiting.Queue,
-    ) -> None:
-        """Refuse the requests of a ranked service that can't start in time.
-
-        To be called after free endpoints were assigned, so that none is free
-        for those that still wait.
-        """
-        now_s = clocks.monotonic_s()
-        for waiter in self.ranked.unservable(service, queue, now_s):
-            await self._drop(service, waiter, ranked_queues.Cause.no_room)
-
-    async def _make_room(self, service: str, waiter: waiting.Waiter) -> None:
-        """Drop a request from a full queue for a more urgent one.
-
-        :raises errors.RequestError: if the new request is the one to refuse.
-        """
-        queue = self.entry.queue(service)
-        if not queue.is_ranked or len(queue.waiters) < MAX_QUEUED_REQUESTS:
-            return
-        now_s = clocks.monotonic_s()
-        displaced = ranked_refusals.displaced(queue, waiter, now_s)
-        cause = ranked_queues.Cause.displaced
-        if displaced is waiter:
-            raise self.ranked.refusal(service, queue, waiter, cause, now_s)
-        await self._drop(service, displaced, cause)
-
     def _expiry(
         self,
         service: str,
@@ -312,30 +263,20 @@
         """Return the error for a request whose time in the queue is up."""
         queue = self.entry.queue(service)
         if queue.is_ranked:
-            return self.ranked.refusal(
-                service,
-                queue,
-                waiter,
-                ranked_queues.Cause.expired,
-                clocks.monotonic_s(),
-            )
+            cause = ranked_queues.Cause.expired
+            return self.ranked.refusal(service, queue, waiter, cause)
         return self.refusal(
             service, errors.overloaded, 'no endpoint was free in time'
         )
 
     async def _drop(
         self,
-        service: str,
         waiter: waiting.Waiter,
-        cause: ranked_queues.Cause,
+        refusal: errors.RequestError,
     ) -> None:
-        """Refuse a request in the queue of a ranked service."""
-        queue = self.entry.queue(service)
-        queue.waiters.remove(waiter)
+        """Refuse a request that was removed from its queue."""
         pending = self.pending_requests[waiter]
-        pending.refusal = self.ranked.refusal(
-            service, queue, waiter, cause, clocks.monotonic_s()
-        )
+        pending.refusal = refusal
         await pending.decided.set()
 
     def _check_service(
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -124,10 +124,8 @@
         """Note for how long an answer made in one attempt occupied a slot."""
         call = self.call
         if call.attempts == 1 and self.entry.is_ranked(call.service):
-            now_s = clocks.monotonic_s()
-            self.dispatcher.ranked.note_answered(
-                call.route, call.work, now_s - attempt.began_s, now_s
-            )
+            slot_s = clocks.monotonic_s() - attempt.began_s
+            self.dispatcher.ranked.note_answered(call.route, call.work, slot_s)
 
     async def _run_movable(
         self,
--- a/packages/entry/src/camphorstair/fleet/gauges.py
+++ b/packages/entry/src/camphorstair/fleet/gauges.py
@@ -1,6 +1,5 @@
 """Gauges of an entry's configuration, queues, endpoints and members."""
 
-import collections
 from collections import abc
 
 from opentelemetry import metrics as metrics_api
@@ -49,12 +48,10 @@
 
 def _queued_by_priority(entry: state.FleetEntry) -> Observed:
     """Return the number of queued requests of ranked services by priority."""
-    counts = collections.Counter(
-        waiter.priority
-        for queue in entry.queues.values()
-        if queue.is_ranked
-        for waiter in queue.waiters
-    )
+    counts: dict[int, int] = {}
+    for queue in entry.queues.values():
+        for waiter in queue.waiters if queue.is_ranked else ():
+            counts[waiter.priority] = counts.get(waiter.priority, 0) + 1
     for priority, count in counts.items():
         yield metrics_api.Observation(count, {'priority': priority})
 
--- a/packages/entry/src/camphorstair/fleet/ranked_queues.py
+++ b/packages/entry/src/camphorstair/fleet/ranked_queues.py
@@ -9,6 +9,7 @@
 import logging
 import random
 import types
+from collections import abc
 
 import attrs
 
@@ -23,10 +24,14 @@
     waiting,
     work_estimates,
 )
+from camphorstair_runtime import clocks
 
 # Pause between two checks of a queue for requests that can't start in time.
 CHECK_INTERVAL_S = 0.1
 
+# Refuses a request that was removed from its queue.
+Drop = abc.Callable[[waiting.Waiter, errors.RequestError], abc.Awaitable[None]]
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -51,13 +56,11 @@
 class ServiceRanking:
     """What is known of the queue of one ranked service.
 
-    :ivar queue: The waiting requests.
     :ivar throughput: Work that was started recently while requests waited.
     :ivar turn: The share of starts that is reserved for less urgent requests.
     :ivar check_due_s: When the queue is to be checked again.
     """
 
-    queue: waiting.Queue
     throughput: start_estimates.Throughput = attrs.field(
         factory=start_estimates.Throughput
     )
@@ -68,43 +71,31 @@
         """Return the expected wait behind some work, or None if unknown."""
         return start_estimates.wait_s(self.throughput, work_ahead_s, now_s)
 
-    def work_ahead_s(self, waiter: waiting.Waiter, now_s: float) -> float:
-        """Return the work of the requests that go before one, in seconds."""
-        level = ranked_order.tier(waiter, now_s)
-        return sum(
-            other.work_s
-            for other in self.queue.waiters
-            if other is not waiter and ranked_order.tier(other, now_s) <= level
-        )
-
 
 @attrs.define(eq=False)
 class RankedQueues:
-    """The ranked services of one entry.
+    """The queues of one entry's ranked services.
+
+    The methods do nothing to the queue of a service that is not ranked, which
+    is in the order of ``waiting``.
 
     :ivar generator: Spreads the times at which refused callers return.
     :ivar meters: The counters of the entry.
+    :ivar drop: Refuses a request that was removed from its queue.
     :ivar estimates: Estimates of the work of requests.
     :ivar refused: The refused requests that may come again.
-    :ivar services: The ranked services by name.
+    :ivar services: What is known of each ranked service.
     """
 
     generator: random.Random
     meters: instruments.Instruments
+    drop: Drop
     estimates: work_estimates.Estimates = attrs.field(
         factory=work_estimates.Estimates
     )
     refused: returns.Returns = attrs.field(factory=returns.Returns)
     services: dict[str, ServiceRanking] = attrs.field(factory=dict)
 
-    def ranking(self, service: str, queue: waiting.Queue) -> ServiceRanking:
-        """Return what is known of a service's queue."""
-        known = self.services.get(service)
-        if known is None:
-            known = ServiceRanking(queue)
-            self.services[service] = known
-        return known
-
     def describe(
         self,
         waiter: waiting.Waiter,
@@ -122,7 +113,9 @@
         self, service: str, queue: waiting.Queue, now_s: float
     ) -> list[waiting.Waiter]:
         """Return the waiting requests in the order to be sent."""
-        turn = self.ranking(service, queue).turn
+        if not queue.is_ranked:
+            return waiting.sorted_waiters(queue, now_s)
+        turn = self._ranking(service).turn
         return ranked_order.sorted_by_cost(queue, now_s, turn)
 
     def note_start(
@@ -133,61 +126,68 @@
         now_s: float,
     ) -> None:
         """Record that a request was given a slot."""
-        known = self.ranking(service, queue)
+        if not queue.is_ranked:
+            return
+        known = self._ranking(service)
         ranked_order.record_start(known.turn, queue, waiter)
         start_estimates.record_start(known.throughput, waiter.work_s, now_s)
 
-    def note_queue(
-        self, service: str, queue: waiting.Queue, now_s: float
-    ) -> None:
-        """Record whether requests wait, after some have come or left."""
-        known = self.ranking(service, queue)
-        start_estimates.record_queue(
-            known.throughput, bool(queue.waiters), now_s
-        )
-
-    def expected_start_s(
+    async def expect_start(
         self,
         service: str,
         queue: waiting.Queue,
         waiter: waiting.Waiter,
-        now_s: float,
     ) -> float | None:
-        """Return when a waiting request is expected to start, if known."""
-        known = self.ranking(service, queue)
-        wait_s = known.wait_s(known.work_ahead_s(waiter, now_s), now_s)
+        """Return when a request that has to wait will start, if known.
+
+        The requests of its queue that can't start in time are refused.
+        """
+        if not queue.is_ranked:
+            return None
+        now_s = clocks.monotonic_s()
+        known = self._ranking(service)
+        start_estimates.record_queue(
+            known.throughput, is_waiting=True, now_s=now_s
+        )
+        wait_s = known.wait_s(_work_ahead_s(queue, waiter, now_s), now_s)
+        await self._refuse_unservable(service, queue)
         return None if wait_s is None else now_s + wait_s
 
-    def check_is_due(
-        self,
-        service: str,
-        queue: waiting.Queue,
-        now_s: float,
-    ) -> bool:
-        """Return whether a queue is to be checked for unservable requests."""
-        if not queue.is_ranked or not queue.waiters:
-            return False
-        return now_s >= self.ranking(service, queue).check_due_s
+    async def check(self, service: str, queue: waiting.Queue) -> None:
+        """Refuse the requests that can't start in time, if that is due.
 
-    def unservable(
+        To be called after free slots were assigned, so that none is free for
+        the requests that still wait.
+        """
+        if not queue.is_ranked:
+            return
+        now_s = clocks.monotonic_s()
+        known = self._ranking(service)
+        is_waiting = bool(queue.waiters)
+        start_estimates.record_queue(known.throughput, is_waiting, now_s)
+        if is_waiting and now_s >= known.check_due_s:
+            await self._refuse_unservable(service, queue)
+
+    async def make_room(
         self,
         service: str,
         queue: waiting.Queue,
-        now_s: float,
-    ) -> list[waiting.Waiter]:
-        """Return the waiting requests to refuse, as there is no room for them.
+        waiter: waiting.Waiter,
+    ) -> None:
+        """Refuse a request of a full queue, so that a new one can be added.
 
-        To be called only while no slot is free for the waiting requests. They
-        stay in the queue.
+        :raises errors.RequestError: if the new one is to be refused.
         """
-        known = self.ranking(service, queue)
-        known.check_due_s = now_s + CHECK_INTERVAL_S
-        ordered = ranked_order.sorted_by_cost(queue, now_s, known.turn)
-        return ranked_refusals.to_refuse(
-            ordered,
-            lambda work_ahead_s: known.wait_s(work_ahead_s, now_s),
-            now_s,
+        if not queue.is_ranked:
+            return
+        displaced = ranked_refusals.displaced(
+            queue, waiter, clocks.monotonic_s()
         )
+        refusal = self.refusal(service, queue, displaced, Cause.displaced)
+        if displaced is waiter:
+            raise refusal
+        queue.waiters.remove(displaced)
+        await self.drop(displaced, refusal)
 
     def refusal(
         self,
@@ -195,18 +195,17 @@
         queue: waiting.Queue,
         waiter: waiting.Waiter,
         cause: Cause,
-        now_s: float,
     ) -> errors.RequestError:
         """Count and log that a request is refused; return its error.
 
         Its retry-after is when the requests that go before it are started.
         """
-        known = self.ranking(service, queue)
-        ahead_s = known.work_ahead_s(waiter, now_s)
+        now_s = clocks.monotonic_s()
+        known = self._ranking(service)
+        ahead_s = _work_ahead_s(queue, waiter, now_s)
         retry_after_s = start_estimates.retry_after_s(
             known.throughput, ahead_s, now_s, self.generator
         )
-        level = ranked_order.tier(waiter, now_s)
         self.meters.queue_refusals.add(
             1, {'cause': cause.value, 'priority': waiter.priority}
         )
@@ -215,7 +214,7 @@
             cause.value,
             extra={
                 'request': waiter.request,
-                'tier': level,
+                'tier': ranked_order.tier(waiter, now_s),
                 'work_s': round(waiter.work_s, 3),
                 'work_ahead_s': round(ahead_s, 3),
                 'wait_s': known.wait_s(ahead_s, now_s),
@@ -233,22 +232,63 @@
         route: catalogue.Route,
         work: work_estimates.Work,
         slot_s: float,
-        now_s: float,
     ) -> None:
         """Record for how long an answered request occupied a slot."""
+        now_s = clocks.monotonic_s()
         work_estimates.record(self.estimates, route.name, work, slot_s, now_s)
 
     def note_refused(
         self,
         waiter: waiting.Waiter,
-        retry_after_s: float,
-        now_s: float,
+        refusal: errors.RequestError,
     ) -> None:
         """Remember a refused request, so that it is known when it returns."""
+        now_s = clocks.monotonic_s()
         returns.note_refused(
             self.refused,
             waiter.identity,
             waiter.arrived_s,
-            now_s + retry_after_s,
+            now_s + (refusal.retry_after_s or 0),
+            now_s,
+        )
+
+    def _ranking(self, service: str) -> ServiceRanking:
+        return self.services.setdefault(service, ServiceRanking())
+
+    async def _refuse_unservable(
+        self,
+        service: str,
+        queue: waiting.Queue,
+    ) -> None:
+        """Refuse the requests that can't start in time."""
+        now_s = clocks.monotonic_s()
+        known = self._ranking(service)
+        known.check_due_s = now_s + CHECK_INTERVAL_S
+        found = ranked_refusals.to_refuse(
+            ranked_order.sorted_by_cost(queue, now_s, known.turn),
+            lambda work_ahead_s: known.wait_s(work_ahead_s, now_s),
             now_s,
         )
+        refusals = {
+            waiter: self.refusal(service, queue, waiter, Cause.no_room)
+            for waiter in found
+        }
+        # All are removed before the first pause, in which a slot may be freed.
+        for waiter in found:
+            queue.waiters.remove(waiter)
+        for refused, refusal in refusals.items():
+            await self.drop(refused, refusal)
+
+
+def _work_ahead_s(
+    queue: waiting.Queue,
+    waiter: waiting.Waiter,
+    now_s: float,
+) -> float:
+    """Return the work of the requests that go before one, in seconds."""
+    own_tier = ranked_order.tier(waiter, now_s)
+    return sum(
+        other.work_s
+        for other in queue.waiters
+        if other is not waiter and ranked_order.tier(other, now_s) <= own_tier
+    )
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -130,26 +130,25 @@
                 errors.unknown_path, f'no route for {request.path}'
             )
         caller_headers = headers.decode_caller(request)
-        organisation = self._organisation(configuration, route, caller_headers)
         now_s = clocks.monotonic_s()
-        caller_limit_s = caller_headers.limit_s or DEFAULT_LIMIT_S
-        limit_s = min(route.timeout_s, caller_limit_s)
-        waiter = _waiter(route, organisation, now_s)
+        waiter = _waiter(
+            route,
+            self._organisation(configuration, route, caller_headers),
+            now_s,
+        )
         identity = calls.identity_of(
             request, waiter.organisation or caller_headers.key
         )
         waiter.request = caller_headers.attempt
         waiter.suspects = (identity, *caller_headers.prompt_parts)
-        elapsed_s = self.entry.caller_times.elapsed_s(route, caller_limit_s)
         service = self._service(route)
         work = work_estimates.Work(0, 0)
         if configuration.is_ranked(service):
             waiter.identity = identity
             work = self._estimate(configuration, route, service, caller_headers)
             self.dispatcher.ranked.describe(waiter, work, now_s)
-            elapsed_s = max(elapsed_s, now_s - waiter.arrived_s)
-        waiting.set_deadlines(
-            waiter, route, now_s, now_s + limit_s, elapsed_s
+        deadline_s = self._set_deadlines(
+            waiter, route, now_s, caller_headers.limit_s or DEFAULT_LIMIT_S
         )
         return calls.Call(
             request=request,
@@ -161,12 +160,28 @@
             identity=identity,
             responder=responder,
             received_s=now_s,
-            deadline_s=now_s + limit_s,
+            deadline_s=deadline_s,
             waiter=waiter,
             work=work,
             stream=stream_progress.StreamProgress(caller_headers.last_event),
         )
 
+    def _set_deadlines(
+        self,
+        waiter: waiting.Waiter,
+        route: catalogue.Route,
+        now_s: float,
+        caller_limit_s: float,
+    ) -> float:
+        """Set how long a request may wait; return when its answer is due."""
+        deadline_s = now_s + min(route.timeout_s, caller_limit_s)
+        elapsed_s = max(
+            self.entry.caller_times.elapsed_s(route, caller_limit_s),
+            now_s - waiter.arrived_s,
+        )
+        waiting.set_deadlines(waiter, route, now_s, deadline_s, elapsed_s)
+        return deadline_s
+
     def _estimate(
         self,
         configuration: catalogue.Catalogue,
--- a/tests/test_ranked_order.py
+++ b/tests/test_ranked_order.py
@@ -1,5 +1,7 @@
 """Which waiting requests of a ranked service start, wait and are refused."""
 
+import itertools
+
 import pytest
 import ranked_play
 from hypothesis import stateful
@@ -148,7 +150,8 @@
         ranked_order.record_start(turn, queue, waiter)
         waiting.start(queue, waiter)
         started.append(waiter.priority)
-    assert started[:11] == [0] * 9 + [2, 1]
+    first_starts = [*itertools.repeat(0, 9), 2, 1]
+    assert started[:11] == first_starts
     assert [started.count(priority) for priority in (0, 1, 2)] == [25, 2, 3]
 
 
--- a/tests/test_slot_grants.py
+++ b/tests/test_slot_grants.py
@@ -388,5 +388,5 @@
     else:
         candidate.terms.leaving = True
     assert not choice.free('engine', choice.usable('engine'), now_s)
-    choice.count_sent(candidate, now_s)
+    choice.count_sent(candidate, _waiter(), now_s)
     assert not placement.has_grant(candidate.load, now_s)
