Count streams that pause while the memory of their engine is almost full

Cause: an engine does not report which requests it interrupts for lack of memory, so such pauses looked like those of a slow engine.

--- a/packages/entry/src/camphorstair/fleet/answer_progress.py
+++ b/packages/entry/src/camphorstair/fleet/answer_progress.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from camphorstair.fleet import crash_state
+from camphorstair.fleet import crash_state, preempted_streams
 from camphorstair_runtime import clocks
 
 # An engine that writes on for this long after its first event has not crashed
@@ -20,6 +20,7 @@
 
     :ivar crashes: Where the suspects are recorded as answered.
     :ivar suspects: What in the request may crash endpoints.
+    :ivar pauses: Watches the pauses of a stream; None if they don't matter.
     :ivar first_event_s: When the first event of a stream came; None before.
     :ivar proven: Whether the engine has answered for ``PROGRESS_S``, or
         completely.
@@ -27,12 +28,15 @@
 
     crashes: crash_state.CrashState
     suspects: tuple[str, ...]
+    pauses: preempted_streams.PauseWatch | None = None
     first_event_s: float | None = None
     proven: bool = False
 
     def note_events(self) -> None:
         """Note that events have come; the first ones prove nothing yet."""
         now_s = clocks.monotonic_s()
+        if self.pauses is not None:
+            self.pauses.note_events(now_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         elif now_s - self.first_event_s >= PROGRESS_S:
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -10,6 +10,7 @@
     attempt_errors,
     calls,
     connections,
+    preempted_streams,
     state,
     stream_relaying,
 )
@@ -68,7 +69,9 @@
             self.entry.crashes.history, self.call.identity
         )
         self.progress = answer_progress.AnswerProgress(
-            self.entry.crashes, self.call.waiter.suspects
+            self.entry.crashes,
+            self.call.waiter.suspects,
+            preempted_streams.watch(self.entry, self.call, self.candidate),
         )
 
     async def run(self) -> None:
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -14,6 +14,8 @@
         them.
     :ivar ejections: Ejections of endpoints after failures.
     :ivar crashes: Requests whose endpoint crashed before it answered.
+    :ivar preempted_streams: Streams that paused while their engine's memory was
+        almost full, by route.
     :ivar queued_s: Time from a request's arrival to its last attempt, in
         seconds.
     :ivar first_part_s: Time from a request's arrival to the first part of its
@@ -25,6 +27,7 @@
     retries: metrics_api.Counter
     ejections: metrics_api.Counter
     crashes: metrics_api.Counter
+    preempted_streams: metrics_api.Counter
     queued_s: metrics_api.Histogram
     first_part_s: metrics_api.Histogram
 
@@ -37,6 +40,7 @@
         meter.create_counter('camphorstair_repeats'),
         meter.create_counter('camphorstair_ejections'),
         meter.create_counter('camphorstair_crashes'),
+        meter.create_counter('camphorstair_preempted_streams'),
         meter.create_histogram('camphorstair_queued_seconds'),
         meter.create_histogram('camphorstair_first_part_seconds'),
     )
