--- a/packages/core/src/camphorstair_core/fleet/memory_placement.py
+++ b/packages/core/src/camphorstair_core/fleet/memory_placement.py
@@ -43,7 +43,8 @@
     :param kv_tokens: Estimated need of the request in tokens; 0 if unknown.
     :param now_s: The current time.
     """
-    # Later reports are the only readers, and count for REPORT_MAX_AGE_S.
+    # Without reports, what was sent would pile up. It is not needed for longer,
+    # because an older report counts for nothing.
     _drop_sent(load, now_s - placement.REPORT_MAX_AGE_S - MAX_ADMISSION_S)
     load.kv_sent.append((now_s, needed_tokens(profile, kv_tokens)))
 
