Ask for slots every 20 ms, and more engines after a long wait

Cause: with rounds of 50 ms, requests lost all their tries within two report intervals when other entries were faster. Change: rounds of 20 ms, each engine at most every 50 ms as before; after 0.1 s a round asks four engines.

--- a/packages/core/src/camphorstair_core/fleet/slot_requests.py
+++ b/packages/core/src/camphorstair_core/fleet/slot_requests.py
@@ -5,11 +5,9 @@
 engines. An agent that grants a slot replies; a refusal has no reply.
 
 The rounds bound the messages: an entry sends at most ``MAX_ASKED`` requests
-every ``INTERVAL_S``, which is 80 a second of about 110 bytes with their
-headers, 8.8 KB/s in a burst and none while no request waits. An agent receives
-at most 20 a second from each of 8 entries. At 4,800 slots, 150 entries serve,
-so that the 600 agents receive 20 requests a second each on average, 2.2 KB/s,
-while requests wait at all entries.
+every ``ROUND_S``, which is 200 a second of about 110 bytes with their headers,
+22 KB/s while many reports show slots of others, and none while no request
+waits. An agent receives at most 20 a second from each of 8 entries, 18 KB/s.
 """
 
 import random
@@ -23,9 +21,13 @@
 # Engines asked beyond the number of waiting requests: a report may be out of
 # date, and an agent that refuses does not reply.
 SPARE_ASKED = 1
-# Shortest time between two rounds of an entry, and so also between two requests
-# to the same engine.
-INTERVAL_S = 0.05
+# Shortest time between two rounds of an entry. Several rounds fit into the two
+# report intervals for which a request may wait beside a free slot.
+ROUND_S = 0.02
+# Shortest time between two requests to the same engine.
+ENGINE_INTERVAL_S = 0.05
+# After this wait of a request, as many engines are asked as a round allows.
+LONG_WAIT_S = 0.1
 # Time before its latest useful start in which a late request is urgent again.
 LAST_CHANCE_S = 0.5
 
@@ -51,6 +53,7 @@
     :ivar last_number: Number of the last request. The first one should be
         random, so that a grant to an earlier process matches no request.
     :ivar next_round_s: When engines may be asked again.
+    :ivar next_ask_s: When each engine may be asked again, by its address.
     :ivar asked: The last request to each engine that has no reply, by the
         engine's address.
     :ivar granted: Endpoints with a grant whose outcome is not counted yet.
@@ -58,6 +61,7 @@
 
     last_number: int
     next_round_s: float = 0
+    next_ask_s: dict[str, float] = attrs.field(factory=dict)
     asked: dict[str, Asked] = attrs.field(factory=dict)
     granted: list[placement.Candidate] = attrs.field(factory=list)
 
@@ -86,8 +90,8 @@
 ) -> list[Asked]:
     """Return the requests to send in a round that begins now.
 
-    Hardly more are sent than requests wait, because an unused grant keeps a
-    slot idle. The endpoints with the most free slots are asked first.
+    Until a request has waited for long, hardly more are sent than requests
+    wait, because an unused grant keeps a slot idle. The endpoints with the most free slots are asked first.
 
     :param requests: The sent requests, to which those returned are added.
     :param candidates: Endpoints that lend slots and may be sent a request.
@@ -95,17 +99,24 @@
     :param now_s: The current time.
     :param generator: Breaks ties, so that entries ask different endpoints.
     """
-    requests.next_round_s = now_s + INTERVAL_S
-    useful = [row for row in candidates if _is_useful(row, waiters)]
+    requests.next_round_s = now_s + ROUND_S
+    useful = [
+        row
+        for row in candidates
+        if _is_useful(row, waiters)
+        and now_s >= requests.next_ask_s.get(_address(row), 0)
+    ]
     generator.shuffle(useful)
     useful.sort(key=lambda row: _free_slots(row, now_s), reverse=True)
     sent = []
-    for candidate in useful[: min(MAX_ASKED, len(waiters) + SPARE_ASKED)]:
+    for candidate in useful[: _wanted_replies(waiters, now_s)]:
         requests.last_number += 1
         asked = Asked(requests.last_number, candidate, now_s)
         # A grant for an earlier request to this endpoint comes too late: the
         # agent replaces it by the grant for this request.
-        requests.asked[candidate.endpoint.registration.address] = asked
+        address = _address(candidate)
+        requests.asked[address] = asked
+        requests.next_ask_s[address] = now_s + ENGINE_INTERVAL_S
         sent.append(asked)
     return sent
 
@@ -152,6 +163,11 @@
             candidate.load.grant_deadline_s = 0
             expired += 1
     requests.granted = in_force
+    requests.next_ask_s = {
+        address: next_s
+        for address, next_s in requests.next_ask_s.items()
+        if now_s < next_s
+    }
     requests.asked = {
         address: asked
         for address, asked in requests.asked.items()
@@ -174,6 +190,18 @@
     return 2 * waiter.priority + 3
 
 
+def _wanted_replies(waiters: list[waiting.Waiter], now_s: float) -> int:
+    """Return how many engines to ask in a round."""
+    oldest_s = min(waiter.arrived_s for waiter in waiters)
+    if now_s >= oldest_s + LONG_WAIT_S:
+        return MAX_ASKED
+    return min(MAX_ASKED, len(waiters) + SPARE_ASKED)
+
+
+def _address(candidate: placement.Candidate) -> str:
+    return candidate.endpoint.registration.address
+
+
 def _free_slots(candidate: placement.Candidate, now_s: float) -> float:
     slots = candidate.endpoint.registration.slots
     return slots - placement.estimated_work(candidate.load, now_s)
