--- a/packages/core/src/camphorstair_core/fleet/ranked_refusals.py
+++ b/packages/core/src/camphorstair_core/fleet/ranked_refusals.py
@@ -125,6 +125,10 @@
 ) -> waiting.Waiter:
     """Return the request to refuse when the queue is full.
 
+    A priority keeps as large a share of the queue as it has of the starts.
+    Otherwise endless urgent requests would displace all that the reserved
+    starts are for.
+
     :param queue: The waiting requests.
     :param newcomer: The request that arrives; not in the queue.
     :param now_s: The current time.
@@ -133,7 +137,13 @@
     waiters = [*queue.waiters, newcomer]
     mean_s = _mean_work_s(waiters)
     by_value: dict[float, list[waiting.Waiter]] = {}
+    levels = [waiter.priority for waiter in waiters]
+    numbers = {level: levels.count(level) for level in set(levels)}
+    # With this divisor at least one priority has more than its share.
+    divisor = max(ranked_order.MAX_PASSED_OVER, len(numbers)) + 1
     for waiter in waiters:
+        if numbers[waiter.priority] <= len(waiters) / divisor:
+            continue
         value = _value(waiter, mean_s, now_s)
         by_value.setdefault(value, []).append(waiter)
     least_valuable = by_value[min(by_value)]
