--- a/tests/test_ranked_order.py
+++ b/tests/test_ranked_order.py
@@ -108,6 +108,18 @@
         _assert_priorities_kept(outcomes)
 
 
+def test_urgent_requests_at_twice_the_slots_are_served_most() -> None:
+    """Guards against reserved starts that cost urgent requests too much."""
+    flows = [
+        ranked_play.Flow(0, 2, 0, 15),
+        ranked_play.Flow(1, 0.2, 0, 15),
+        ranked_play.Flow(2, 0.4, 0, 15),
+    ]
+    outcomes = ranked_play.play(flows, new_order=True)
+    assert outcomes.share_of_starts(2) >= MIN_START_SHARE
+    _assert_priorities_kept(outcomes)
+
+
 def test_small_organisation_is_served_beside_a_large_one() -> None:
     """Guards against a flood of one organisation that starves another."""
     flows = [
@@ -148,7 +160,7 @@
         ranked_order.record_start(turn, queue, waiter)
         waiting.start(queue, waiter)
         started.append(waiter.priority)
-    assert started[:11] == [0] * 9 + [2, 1]
+    assert started[:11] == [0, 0, 0, 0, 0, 0, 0, 0, 0, 2, 1]
     assert [started.count(priority) for priority in (0, 1, 2)] == [25, 2, 3]
 
 
@@ -199,6 +211,16 @@
     assert ranked_refusals.displaced(queue, newcomer, 0) is newcomer
 
 
+def test_full_queue_keeps_some_requests_of_each_priority() -> None:
+    """Guards against displacing all requests that reserved starts are for."""
+    least_urgent = _waiter(2)
+    queue = waiting.Queue([least_urgent, *(_waiter(0) for _ in range(20))])
+    assert ranked_refusals.displaced(queue, _waiter(0), 0).priority == 0
+    even = waiting.Queue([_waiter(priority) for priority in range(12)])
+    newcomer = _waiter(12)
+    assert ranked_refusals.displaced(even, newcomer, 0) is newcomer
+
+
 class RankedQueue(stateful.RuleBasedStateMachine):
     """Plays any sequence of arrivals, starts and refusals."""
 
