--- a/tests/test_ranked_order.py
+++ b/tests/test_ranked_order.py
@@ -1,6 +1,5 @@
 """Which waiting requests of a ranked service start, wait and are refused."""
 
-
 import pytest
 import ranked_play
 from hypothesis import stateful
