--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -194,8 +194,8 @@
         pending = PendingRequest(waiter)
         queue.waiters.append(waiter)
         self.pending_requests[waiter] = pending
-        await self._grant(service, usable)
         try:
+            await self._grant(service, usable)
             if waiter in queue.waiters:
                 pending.expected_start_s = await self.ranked.expect_start(
                     service, queue, waiter
