--- a/tests/test_ranked_dispatch.py
+++ b/tests/test_ranked_dispatch.py
@@ -26,6 +26,7 @@
 
 URGENT, BATCH = 0, 2
 LIMIT_S = 4.0
+MIN_RETRY_S = 0.5
 
 
 def _dispatcher(
@@ -169,7 +170,7 @@
         await curio.sleep(0.25)
         refused = [await ended.join() for ended in batch if ended.terminated]
         assert len(refused) >= 20
-        assert all(refusal.retry_after_s >= 0.5 for refusal in refused)
+        assert all(refusal.retry_after_s >= MIN_RETRY_S for refusal in refused)
         assert clocks.monotonic_s() < began_s + 1
         for queued in (*urgent, *batch):
             await queued.cancel()
