--- a/packages/core/src/camphorstair_core/fleet/ranked_order.py
+++ b/packages/core/src/camphorstair_core/fleet/ranked_order.py
@@ -72,7 +72,8 @@
 
     :param queue: The waiting requests.
     :param now_s: The current time.
-    :param turn: The reserved share; it decides which request is the first.
+    :param turn: The reserved share; it decides only which request is the
+        first, so requests that start together have one reserved start.
     """
     ordered = ranked(queue.waiters, queue.in_progress, now_s)
     position = _reserved_position(ordered, turn)
--- a/packages/core/src/camphorstair_core/fleet/slot_grants.py
+++ b/packages/core/src/camphorstair_core/fleet/slot_grants.py
@@ -93,9 +93,9 @@
     """
     _record_report(grants, requests, now_s)
     new = [asker for asker in askers if not _is_repeated(grants, asker)]
-    for repeated in new:
+    for waiting_asker in new:
         # An entry asks again only if it holds no grant of this engine.
-        grants.deadlines_s.pop(repeated.entry, None)
+        grants.deadlines_s.pop(waiting_asker.entry, None)
     if now_s < grants.not_before_s:
         return []
     idle = max(0, slots - requests - len(grants.deadlines_s))
--- a/packages/core/src/camphorstair_core/fleet/slot_requests.py
+++ b/packages/core/src/camphorstair_core/fleet/slot_requests.py
@@ -89,7 +89,8 @@
     """Return the requests to send in a round that begins now.
 
     Until a request has waited for long, hardly more are sent than requests
-    wait, because an unused grant keeps a slot idle. The endpoints with the most free slots are asked first.
+    wait, because an unused grant keeps a slot idle. The endpoints with the most
+    free slots are asked first.
 
     :param requests: The sent requests, to which those returned are added.
     :param candidates: Endpoints that lend slots and may be sent a request.
--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -1,5 +1,7 @@
 """The order in which waiting requests of a service are sent to endpoints.
 
+Services that are ranked have the order of ``ranked_order`` instead.
+
 The order is designed for overload, when more requests arrive than the endpoints
 can start in time. Requests that can still meet their latency target go first: a
 request that is already late loses little by waiting longer, and would make the
@@ -31,7 +33,8 @@
 
     :ivar organisation: The organisation that sent it.
     :ivar priority: Its priority; 0 is the most urgent.
-    :ivar arrived_s: When it arrived.
+    :ivar arrived_s: When it arrived, or from when on its position counts if
+        it comes again after a refusal.
     :ivar latest_timely_start_s: Latest start at which the answer meets its
         latency target.
     :ivar latest_useful_start_s: Latest start at which the answer can be
--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -110,12 +110,30 @@
             queue is full, or no endpoint is free in time, or if the request
             crashes endpoints.
         """
+        if self.choice.usable(service):
+            await self.quarantines.claim_trials(waiter)
+        self.quarantines.check(waiter)
+        usable = self.choice.usable(service)
+        queue = self.entry.queue(service)
+        self._check_service(service, waiter, usable)
+        if len(queue.waiters) >= MAX_QUEUED_REQUESTS:
+            await self.ranked.make_room(service, queue, waiter)
+        pending = PendingRequest(waiter)
+        queue.waiters.append(waiter)
+        self.pending_requests[waiter] = pending
         try:
-            return await self._acquire(service, waiter)
-        except errors.RequestError as refusal:
-            if self.entry.is_ranked(service):
-                self.ranked.note_refused(waiter, refusal)
+            await self._wait_decided(service, usable, pending)
+        except curio.CancelledError:
+            if pending.granted is not None:
+                await self.release(
+                    service, waiter.organisation, pending.granted
+                )
             raise
+        finally:
+            self.pending_requests.pop(waiter, None)
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
+        return self._granted(service, pending)
 
     async def release(
         self,
@@ -178,34 +196,21 @@
         spread = self.entry.generator.uniform(1, RETRY_SPREAD)
         return errors.RequestError(code, message, retry_after_s=base_s * spread)
 
-    async def _acquire(
+    async def _wait_decided(
         self,
         service: str,
-        waiter: waiting.Waiter,
-    ) -> placement.Candidate:
-        if self.choice.usable(service):
-            await self.quarantines.claim_trials(waiter)
-        self.quarantines.check(waiter)
-        usable = self.choice.usable(service)
+        usable: list[placement.Candidate],
+        pending: PendingRequest,
+    ) -> None:
+        """Wait until an endpoint is assigned or the request is dropped."""
+        await self._grant(service, usable)
         queue = self.entry.queue(service)
-        if len(queue.waiters) >= MAX_QUEUED_REQUESTS:
-            await self.ranked.make_room(service, queue, waiter)
-        self._check_service(service, waiter, usable)
-        pending = PendingRequest(waiter)
-        queue.waiters.append(waiter)
-        self.pending_requests[waiter] = pending
-        try:
-            await self._grant(service, usable)
-            if waiter in queue.waiters:
-                pending.expected_start_s = await self.ranked.expect_start(
-                    service, queue, waiter
-                )
-            await pending.decided.wait()
-        finally:
-            self.pending_requests.pop(waiter, None)
-            if waiter in queue.waiters:
-                queue.waiters.remove(waiter)
-        return self._granted(service, pending)
+        if pending.waiter in queue.waiters:
+            pending.expected_start_s = self.ranked.estimate_start(
+                service, queue, pending.waiter
+            )
+            await self.ranked.check(service, queue)
+        await pending.decided.wait()
 
     def _granted(
         self,
@@ -291,7 +296,8 @@
             is unusable or excluded and no rank group is forming.
         """
         queue = self.entry.queue(service)
-        if len(queue.waiters) >= MAX_QUEUED_REQUESTS:
+        is_full = len(queue.waiters) >= MAX_QUEUED_REQUESTS
+        if is_full and not queue.is_ranked:
             raise self.refusal(
                 service,
                 errors.overloaded,
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -267,12 +267,13 @@
             self.failure = error
         finally:
             self._writer = None
-        await self._progress.set()
+            await self._progress.set()
 
     async def _write_part(self) -> None:
         part = self._unsent[0]
         sent = await self.responder.sock.send(part[:WRITE_BYTES])
-        if self._writes():
+        # The bytes are gone if the answer has ended or closed meanwhile.
+        if self._unsent and self._unsent[0] is part:
             self._unsent.popleft()
             if sent < len(part):
                 self._unsent.appendleft(part[sent:])
--- a/packages/entry/src/camphorstair/fleet/ranked_queues.py
+++ b/packages/entry/src/camphorstair/fleet/ranked_queues.py
@@ -32,6 +32,9 @@
 # Refuses a request that was removed from its queue.
 Drop = abc.Callable[[waiting.Waiter, errors.RequestError], abc.Awaitable[None]]
 
+# Tells the slot time of the requests that go before one, in seconds.
+WorkAhead = abc.Callable[[waiting.Waiter], float]
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -47,7 +50,7 @@
     {
         Cause.expired: 'no endpoint was free in time',
         Cause.no_room: 'no endpoint will be free in time',
-        Cause.displaced: 'the queue is full of more urgent requests',
+        Cause.displaced: 'the queue is full',
     },
 )
 
@@ -132,16 +135,13 @@
         ranked_order.record_start(known.turn, queue, waiter)
         start_estimates.record_start(known.throughput, waiter.work_s, now_s)
 
-    async def expect_start(
+    def estimate_start(
         self,
         service: str,
         queue: waiting.Queue,
         waiter: waiting.Waiter,
     ) -> float | None:
-        """Return when a request that has to wait will start, if known.
-
-        The requests of its queue that can't start in time are refused.
-        """
+        """Return when a request that has to wait will start, if known."""
         if not queue.is_ranked:
             return None
         now_s = clocks.monotonic_s()
@@ -149,8 +149,8 @@
         start_estimates.record_queue(
             known.throughput, is_waiting=True, now_s=now_s
         )
-        wait_s = known.wait_s(_work_ahead_s(queue, waiter, now_s), now_s)
-        await self._refuse_unservable(service, queue)
+        work_ahead_s = _work_by_tier(queue, now_s)(waiter)
+        wait_s = known.wait_s(work_ahead_s, now_s)
         return None if wait_s is None else now_s + wait_s
 
     async def check(self, service: str, queue: waiting.Queue) -> None:
@@ -183,10 +183,10 @@
         displaced = ranked_refusals.displaced(
             queue, waiter, clocks.monotonic_s()
         )
-        refusal = self.refusal(service, queue, displaced, Cause.displaced)
         if displaced is waiter:
-            raise refusal
+            raise self.refusal(service, queue, waiter, Cause.displaced)
         queue.waiters.remove(displaced)
+        refusal = self.refusal(service, queue, displaced, Cause.displaced)
         await self.drop(displaced, refusal)
 
     def refusal(
@@ -200,9 +200,47 @@
 
         Its retry-after is when the requests that go before it are started.
         """
+        ahead_s = _work_by_tier(queue, clocks.monotonic_s())(waiter)
+        return self._refusal(service, waiter, cause, ahead_s)
+
+    def note_answered(
+        self,
+        route: catalogue.Route,
+        work: work_estimates.Work,
+        slot_s: float,
+    ) -> None:
+        """Record for how long an answered request occupied a slot."""
+        now_s = clocks.monotonic_s()
+        work_estimates.record(self.estimates, route.name, work, slot_s, now_s)
+
+    def note_refused(
+        self,
+        waiter: waiting.Waiter,
+        retry_after_s: float,
+    ) -> None:
+        """Remember a refused request, so that it is known when it returns.
+
+        :param waiter: The request.
+        :param retry_after_s: The time that its caller was told to wait.
+        """
+        now_s = clocks.monotonic_s()
+        returns.note_refused(
+            self.refused,
+            waiter.identity,
+            waiter.arrived_s,
+            now_s + retry_after_s,
+            now_s,
+        )
+
+    def _refusal(
+        self,
+        service: str,
+        waiter: waiting.Waiter,
+        cause: Cause,
+        ahead_s: float,
+    ) -> errors.RequestError:
         now_s = clocks.monotonic_s()
         known = self._ranking(service)
-        ahead_s = _work_ahead_s(queue, waiter, now_s)
         retry_after_s = start_estimates.retry_after_s(
             known.throughput, ahead_s, now_s, self.generator
         )
@@ -219,7 +257,6 @@
                 'work_ahead_s': round(ahead_s, 3),
                 'wait_s': known.wait_s(ahead_s, now_s),
                 'slack_s': round(waiter.latest_useful_start_s - now_s, 3),
-                'queued': len(queue.waiters),
                 'retry_after_s': round(retry_after_s, 2),
             },
         )
@@ -227,31 +264,6 @@
             errors.overloaded, _MESSAGES[cause], retry_after_s=retry_after_s
         )
 
-    def note_answered(
-        self,
-        route: catalogue.Route,
-        work: work_estimates.Work,
-        slot_s: float,
-    ) -> None:
-        """Record for how long an answered request occupied a slot."""
-        now_s = clocks.monotonic_s()
-        work_estimates.record(self.estimates, route.name, work, slot_s, now_s)
-
-    def note_refused(
-        self,
-        waiter: waiting.Waiter,
-        refusal: errors.RequestError,
-    ) -> None:
-        """Remember a refused request, so that it is known when it returns."""
-        now_s = clocks.monotonic_s()
-        returns.note_refused(
-            self.refused,
-            waiter.identity,
-            waiter.arrived_s,
-            now_s + (refusal.retry_after_s or 0),
-            now_s,
-        )
-
     def _ranking(self, service: str) -> ServiceRanking:
         return self.services.setdefault(service, ServiceRanking())
 
@@ -269,26 +281,31 @@
             lambda work_ahead_s: known.wait_s(work_ahead_s, now_s),
             now_s,
         )
-        refusals = {
-            waiter: self.refusal(service, queue, waiter, Cause.no_room)
-            for waiter in found
-        }
-        # All are removed before the first pause, in which a slot may be freed.
+        # All are removed before a slot can be assigned during an await.
+        for refused in found:
+            queue.waiters.remove(refused)
+        work_ahead_s = _work_by_tier(queue, now_s)
         for waiter in found:
-            queue.waiters.remove(waiter)
-        for refused, refusal in refusals.items():
-            await self.drop(refused, refusal)
-
-
-def _work_ahead_s(
-    queue: waiting.Queue,
-    waiter: waiting.Waiter,
-    now_s: float,
-) -> float:
-    """Return the work of the requests that go before one, in seconds."""
-    own_tier = ranked_order.tier(waiter, now_s)
-    return sum(
-        other.work_s
-        for other in queue.waiters
-        if other is not waiter and ranked_order.tier(other, now_s) <= own_tier
-    )
+            refusal = self._refusal(
+                service, waiter, Cause.no_room, work_ahead_s(waiter)
+            )
+            await self.drop(waiter, refusal)
+
+
+def _work_by_tier(queue: waiting.Queue, now_s: float) -> WorkAhead:
+    """Return the function that tells the work up to the tier of a request."""
+    by_tier: dict[int, float] = {}
+    for waiter in queue.waiters:
+        level = ranked_order.tier(waiter, now_s)
+        by_tier[level] = by_tier.get(level, 0) + waiter.work_s
+
+    def work_ahead_s(waiter: waiting.Waiter) -> float:
+        own_tier = ranked_order.tier(waiter, now_s)
+        work_s = sum(
+            level_s for level, level_s in by_tier.items() if level <= own_tier
+        )
+        if waiter in queue.waiters:
+            work_s -= waiter.work_s
+        return work_s
+
+    return work_ahead_s
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -65,9 +65,9 @@
         try:
             await curio.timeout_after(limit_s, forward, call)
         except curio.TaskTimeout:
-            await self._refuse(request, responder, self._timeout_error(call))
+            await self._refuse_call(call, self._timeout_error(call))
         except errors.RequestError as failure:
-            await self._refuse(request, responder, failure)
+            await self._refuse_call(call, failure)
 
     async def _forward_bounded(self, call: calls.Call) -> None:
         """Forward a request and bound what is held for slow peers.
@@ -264,6 +264,21 @@
         chosen = self.entry.generator.choices(route.services, weights)[0]
         return chosen.service
 
+    async def _refuse_call(
+        self,
+        call: calls.Call,
+        error: errors.RequestError,
+    ) -> None:
+        """Send an error answer to a request that was routed.
+
+        :raises http_server.Disconnected: if the answer has begun already.
+        """
+        if call.waiter.identity and error.retry_after_s is not None:
+            self.dispatcher.ranked.note_refused(
+                call.waiter, error.retry_after_s
+            )
+        await self._refuse(call.request, call.responder, error)
+
     async def _refuse(
         self,
         request: http_messages.Request,
--- a/tests/test_ranked_dispatch.py
+++ b/tests/test_ranked_dispatch.py
@@ -167,7 +167,10 @@
             await _queue(dispatcher, _waiter(BATCH, limit_s=1))
             for _ in range(40)
         ]
-        await curio.sleep(0.25)
+        # The entry's periodic work, until 0.25 s have passed.
+        for _ in range(5):
+            await curio.sleep(0.05)
+            await dispatcher.serve_queues()
         refused = [await ended.join() for ended in batch if ended.terminated]
         assert len(refused) >= 20
         assert all(refusal.retry_after_s >= MIN_RETRY_S for refusal in refused)
@@ -210,12 +213,11 @@
     dispatcher = _dispatcher(monkeypatch)
     ranked = dispatcher.ranked
     now_s = clocks.monotonic_s()
-    refusal = errors.RequestError(errors.overloaded, 'full', retry_after_s=1)
     arrived_s = {}
     for identity in ('early', 'obedient'):
         waiter = _waiter(BATCH, identity)
         arrived_s[identity] = waiter.arrived_s
-        ranked.note_refused(waiter, refusal)
+        ranked.note_refused(waiter, 1)
     work = work_estimates.Work(1, 0)
     early, obedient = _waiter(BATCH, 'early'), _waiter(BATCH, 'obedient')
     ranked.describe(early, work, now_s + 0.1)
@@ -223,3 +225,48 @@
     assert early.came_early
     assert not obedient.came_early
     assert obedient.arrived_s == arrived_s['obedient']
+
+
+def test_a_request_cancelled_as_it_gets_its_slot_frees_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a slot that is lost when its caller disconnects."""
+    dispatcher = _dispatcher(monkeypatch)
+    queue = dispatcher.entry.queue('engine')
+
+    async def cancelled_ask(*_arguments: object) -> None:
+        raise curio.CancelledError
+
+    async def body() -> None:
+        candidate = await _fill(dispatcher)
+        batch = await _queue(dispatcher, _waiter(BATCH))
+        candidate.load.running = 0
+        queue.in_progress.clear()
+        monkeypatch.setattr(type(dispatcher.slot_asker), 'ask', cancelled_ask)
+        with pytest.raises(curio.CancelledError):
+            await dispatcher.acquire('engine', _waiter(URGENT))
+        assert await batch.join() is candidate
+        assert candidate.load.running == 1
+        assert queue.in_progress == {f'organisation-{BATCH}': 1}
+
+    curio.run(body)
+
+
+def test_a_displaced_request_makes_room_only_for_one_that_is_queued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusing a queued request for one refused anyway."""
+    monkeypatch.setattr(dispatch, 'MAX_QUEUED_REQUESTS', 1)
+    dispatcher = _dispatcher(monkeypatch)
+
+    async def body() -> None:
+        await _fill(dispatcher)
+        queued = await _queue(dispatcher, _waiter(BATCH))
+        unusable = _waiter(URGENT)
+        unusable.excluded.add('i-01')
+        with pytest.raises(errors.RequestError):
+            await dispatcher.acquire('engine', unusable)
+        assert not queued.terminated
+        await queued.cancel()
+
+    curio.run(body)
