--- a/packages/entry/src/camphorstair/fleet/dispatch.py
+++ b/packages/entry/src/camphorstair/fleet/dispatch.py
@@ -228,9 +228,8 @@
             self._check_terms(pending.waiter, self.choice.usable(service), 0)
             raise self._expiry(service, pending.waiter)
         if pending.expected_start_s is not None:
-            self.entry.meters.start_error_s.record(
-                clocks.monotonic_s() - pending.expected_start_s
-            )
+            error_s = clocks.monotonic_s() - pending.expected_start_s
+            self.entry.meters.start_error_s.record(abs(error_s))
         return pending.granted
 
     async def _grant(
--- a/packages/entry/src/camphorstair/fleet/instruments.py
+++ b/packages/entry/src/camphorstair/fleet/instruments.py
@@ -16,8 +16,8 @@
     :ivar crashes: Requests whose endpoint crashed before it answered.
     :ivar queue_refusals: Queued requests of ranked services that were refused,
         by cause and priority.
-    :ivar start_error_s: Time that a request of a ranked service waited beyond
-        the estimate at its arrival, in seconds; negative if less.
+    :ivar start_error_s: Time by which the start of a request of a ranked
+        service was off the estimate at its arrival, in seconds.
     :ivar slot_grants: Slots that agents granted, by outcome.
     :ivar preempted_streams: Streams that paused while their engine's memory was
         almost full, by route.
