--- a/packages/core/src/camphorstair_core/fleet/held_bytes.py
+++ b/packages/core/src/camphorstair_core/fleet/held_bytes.py
@@ -6,12 +6,13 @@
 
 import attrs
 
-# While an answer holds this much, no more of it is read from its endpoint.
+# While a stream holds this much, no more of it is read from its endpoint. Whole
+# answers and request bodies count towards the total only.
 CALLER_BOUND_BYTES = 262144
 TOTAL_SHARE = 0.125
 # Memory that is assumed if the settings name none: that of the smallest VM.
 DEFAULT_MEMORY_MB = 152.0
-_BYTES_PER_MB = 1024 * 1024
+_BYTES_PER_MIB = 1024 * 1024
 
 
 @attrs.define(eq=False)
@@ -50,7 +51,7 @@
 
     :param memory_mb: Memory of the VM; 0 if it is unknown.
     """
-    return int((memory_mb or DEFAULT_MEMORY_MB) * _BYTES_PER_MB * TOTAL_SHARE)
+    return int((memory_mb or DEFAULT_MEMORY_MB) * _BYTES_PER_MIB * TOTAL_SHARE)
 
 
 def has_room(account: Account) -> bool:
--- a/packages/entry/src/camphorstair/fleet/preempted_streams.py
+++ b/packages/entry/src/camphorstair/fleet/preempted_streams.py
@@ -50,7 +50,7 @@
                 1, {'route': self.call.route.name}
             )
             _LOG.info(
-                'stream paused while the memory of its engine was full',
+                'stream paused while the memory of its engine was almost full',
                 extra={
                     'request': self.call.caller_headers.attempt,
                     'endpoint': self.candidate.endpoint.registration.endpoint,
--- a/packages/entry/src/camphorstair/fleet/ranked_queues.py
+++ b/packages/entry/src/camphorstair/fleet/ranked_queues.py
@@ -99,7 +99,7 @@
     refused: returns.Returns = attrs.field(factory=returns.Returns)
     services: dict[str, ServiceRanking] = attrs.field(factory=dict)
 
-    def describe(
+    def note_arrival(
         self,
         waiter: waiting.Waiter,
         work: work_estimates.Work,
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -146,7 +146,7 @@
         if configuration.is_ranked(service):
             waiter.identity = identity
             work = self._estimate(configuration, route, service, caller_headers)
-            self.dispatcher.ranked.describe(waiter, work, now_s)
+            self.dispatcher.ranked.note_arrival(waiter, work, now_s)
         deadline_s = self._set_deadlines(
             waiter, route, now_s, caller_headers.limit_s or DEFAULT_LIMIT_S
         )
--- a/tests/ranked_play.py
+++ b/tests/ranked_play.py
@@ -143,13 +143,13 @@
 class Play:
     """The state of a play.
 
-    :ivar new_order: Whether the ranked order and its refusals are in use.
+    :ivar is_ranked: Whether the ranked order and its refusals are in use.
     :ivar slots: Number of slots.
     :ivar queue: The waiting requests.
     :ivar running: Ends of the running requests and their organisations.
     """
 
-    new_order: bool
+    is_ranked: bool
     slots: int
     queue: waiting.Queue = attrs.field(factory=waiting.Queue)
     running: list[tuple[float, str]] = attrs.field(factory=list)
@@ -164,7 +164,7 @@
             return
         self.queue.waiters.pop()
         refused = waiter
-        if self.new_order:
+        if self.is_ranked:
             refused = ranked_refusals.displaced(self.queue, waiter, now_s)
         self.queue.waiters.append(waiter)
         self.refuse([refused])
@@ -181,7 +181,7 @@
         """Start requests while slots are free."""
         while len(self.running) < self.slots and self.queue.waiters:
             waiter = self._ordered(now_s)[0]
-            if self.new_order:
+            if self.is_ranked:
                 ranked_order.record_start(self.turn, self.queue, waiter)
             waiting.start(self.queue, waiter)
             end_s = now_s + waiter.work_s
@@ -190,7 +190,7 @@
 
     def check(self, now_s: float) -> None:
         """Refuse what can't start in time."""
-        if self.new_order and len(self.running) == self.slots:
+        if self.is_ranked and len(self.running) == self.slots:
             self.refuse(
                 ranked_refusals.to_refuse(
                     self._ordered(now_s),
@@ -205,7 +205,7 @@
             waiting.finish(self.queue, heapq.heappop(self.running)[1])
 
     def _ordered(self, now_s: float) -> list[waiting.Waiter]:
-        if self.new_order:
+        if self.is_ranked:
             return ranked_order.sorted_by_cost(self.queue, now_s, self.turn)
         return waiting.sorted_waiters(self.queue, now_s)
 
@@ -213,18 +213,18 @@
 def play(
     flows: list[Flow],
     *,
-    new_order: bool,
+    is_ranked: bool,
     slots: int = SLOTS,
     seed: int = 1,
 ) -> Outcomes:
     """Play a load and return what callers got.
 
     :param flows: The load.
-    :param new_order: Whether the ranked order and its refusals are in use.
+    :param is_ranked: Whether the ranked order and its refusals are in use.
     :param slots: Number of slots.
     :param seed: Seed of the arrivals and the work.
     """
-    state = Play(new_order, slots)
+    state = Play(is_ranked, slots)
     arrivals = _arrivals(flows, slots, seed)
     arrivals.reverse()
     tick = 0
--- a/tests/test_ranked_dispatch.py
+++ b/tests/test_ranked_dispatch.py
@@ -220,8 +220,8 @@
         ranked.note_refused(waiter, 1)
     work = work_estimates.Work(1, 0)
     early, obedient = _waiter(BATCH, 'early'), _waiter(BATCH, 'obedient')
-    ranked.describe(early, work, now_s + 0.1)
-    ranked.describe(obedient, work, now_s + 1.1)
+    ranked.note_arrival(early, work, now_s + 0.1)
+    ranked.note_arrival(obedient, work, now_s + 1.1)
     assert early.came_early
     assert not obedient.came_early
     assert obedient.arrived_s == arrived_s['obedient']
--- a/tests/test_ranked_order.py
+++ b/tests/test_ranked_order.py
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize('factor', [2.2, 2.35, 2.5])
 def test_urgent_requests_are_on_time_through_bursts(factor: float) -> None:
     """Guards against less urgent requests that delay urgent ones."""
-    outcomes = ranked_play.play(_burst(factor), new_order=True)
+    outcomes = ranked_play.play(_burst(factor), is_ranked=True)
     assert outcomes.on_time(0, BURST_S) >= MIN_ON_TIME
     assert outcomes.on_time(0, URGENT_S) >= MIN_ON_TIME
     _assert_priorities_kept(outcomes)
@@ -69,31 +69,31 @@
     )
 
 
-@pytest.mark.parametrize('new_order', [False, True])
+@pytest.mark.parametrize('is_ranked', [False, True])
 def test_entry_with_few_slots_serves_urgent_requests_most(
-    new_order: bool,
+    is_ranked: bool,
 ) -> None:
     """Guards against giving up late urgent requests for timely others.
 
-    The present order serves priority 1 less often than priority 2.
+    The order of other services serves priority 1 less often than priority 2.
     """
     outcomes = ranked_play.Outcomes()
     for seed in range(20):
         played = ranked_play.play(
-            _burst(2.35, 0), new_order=new_order, slots=ENTRY_SLOTS, seed=seed
+            _burst(2.35, 0), is_ranked=is_ranked, slots=ENTRY_SLOTS, seed=seed
         )
         outcomes.arrived += played.arrived
         outcomes.started |= played.started
     served = outcomes.served_by_priority()
-    if new_order:
+    if is_ranked:
         _assert_priorities_kept(outcomes)
     else:
         assert served[1] < served[2]
 
 
-@pytest.mark.parametrize('new_order', [False, True])
+@pytest.mark.parametrize('is_ranked', [False, True])
 def test_endless_urgent_requests_leave_a_tenth_of_the_starts(
-    new_order: bool,
+    is_ranked: bool,
 ) -> None:
     """Guards against starving any of the less urgent priorities."""
     flows = [
@@ -101,10 +101,10 @@
         ranked_play.Flow(1, 0.2, 0, 15),
         ranked_play.Flow(2, 0.4, 0, 15),
     ]
-    outcomes = ranked_play.play(flows, new_order=new_order)
+    outcomes = ranked_play.play(flows, is_ranked=is_ranked)
     is_served = outcomes.share_of_starts(2) >= MIN_START_SHARE
-    assert is_served is new_order
-    if new_order:
+    assert is_served is is_ranked
+    if is_ranked:
         _assert_priorities_kept(outcomes)
 
 
@@ -115,7 +115,7 @@
         ranked_play.Flow(1, 0.2, 0, 15),
         ranked_play.Flow(2, 0.4, 0, 15),
     ]
-    outcomes = ranked_play.play(flows, new_order=True)
+    outcomes = ranked_play.play(flows, is_ranked=True)
     assert outcomes.share_of_starts(2) >= MIN_START_SHARE
     _assert_priorities_kept(outcomes)
 
@@ -126,7 +126,7 @@
         ranked_play.Flow(2, 2, 0, 10, 'large'),
         ranked_play.Flow(2, 0.05, 0, 10, 'small', large=0.2),
     ]
-    outcomes = ranked_play.play(flows, new_order=True)
+    outcomes = ranked_play.play(flows, is_ranked=True)
     small = outcomes.served(lambda waiter: waiter.organisation == 'small')
     large = outcomes.served(lambda waiter: waiter.organisation == 'large')
     assert small >= large
@@ -165,7 +165,7 @@
 
 
 def test_of_equal_requests_the_last_in_the_order_is_refused() -> None:
-    """Guards against refusing a small organisation for a large one."""
+    """Guards against refusing a request with less slack than another."""
     less_urgent = [_waiter(2, work_s=1), _waiter(2, work_s=1)]
     ordered = [*less_urgent, _waiter(0, useful_s=1.5, work_s=1)]
     refused = ranked_refusals.to_refuse(ordered, lambda work_s: work_s, 0)
@@ -189,7 +189,7 @@
     ) == [small]
 
 
-def test_large_requests_are_kept_half_as_often_as_others() -> None:
+def test_large_requests_are_kept_at_least_half_as_often() -> None:
     """Guards against refusing every large request in a long overload."""
     waiters = [
         _waiter(request=f'r{number}', work_s=1 if number % 10 else 4)
