--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -165,8 +165,7 @@
         )
         host = call.request.header('host')
         call.sent = True
-        await holding.send(call.held, exchange, host, forwarded)
-        await http_client.read_head(exchange, forwarded)
+        await holding.send_request(call.held, exchange, host, forwarded)
         for _ in range(MAX_MISMATCHED_ANSWERS):
             answer = headers.decode_answer(exchange.status, exchange.headers)
             self._record_load(answer)
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -21,6 +21,7 @@
     http_client,
     http_messages,
     http_server,
+    sockets,
 )
 
 # Most bytes that are passed to one write of held bytes.
@@ -101,6 +102,8 @@
     :ivar failure: Why writing to the caller failed.
     :ivar sending_body: Whether the request's body is being sent to an
         endpoint, which therefore can't have begun the request.
+    :ivar slow_endpoint: Whether the endpoint of the current attempt did not
+        take the request at once.
     """
 
     answers: HeldAnswers
@@ -109,6 +112,7 @@
     responder: http_server.Responder
     failure: OSError | None = None
     sending_body: bool = False
+    slow_endpoint: bool = False
     _unsent: collections.deque[memoryview] = attrs.field(
         factory=collections.deque
     )
@@ -212,6 +216,8 @@
         if not rest:
             return
         self.sending_body = True
+        self.slow_endpoint = True
+        sockets.set_user_timeout(sock, 0)
         await self.answers.hold(self.account, len(rest))
         held = len(rest)
         try:
@@ -283,20 +289,28 @@
     return HeldAnswers(held_bytes.Totals(bound_bytes))
 
 
-async def send(
+async def send_request(
     holding: Holding | None,
     exchange: http_client.Exchange,
     host: str,
     request: http_messages.Request,
 ) -> None:
-    """Send a request; what the endpoint does not read is held, if bounded.
+    """Send a request and read the head of its response.
 
-    :raises http_client.HttpError: if sending fails.
+    If slow peers are bounded, what the endpoint does not read is held. Such an
+    endpoint is bounded by the request's deadline in place of the socket's user
+    timeout until it answers.
+
+    :raises http_client.HttpError: if the exchange fails.
     """
     write = None
     if holding is not None:
+        holding.slow_endpoint = False
         write = functools.partial(holding.send_body, exchange.sock)
     await http_client.send(exchange, host, request, write)
+    await http_client.read_head(exchange, request)
+    if holding is not None and holding.slow_endpoint:
+        sockets.set_user_timeout(exchange.sock, sockets.USER_TIMEOUT_MS)
 
 
 def _write_now(sock: curio.io.Socket, content: bytes) -> int:
--- a/packages/runtime/src/camphorstair_runtime/sockets.py
+++ b/packages/runtime/src/camphorstair_runtime/sockets.py
@@ -36,6 +36,18 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def set_user_timeout(sock: curio.io.Socket, timeout_ms: int) -> None:
+    """Set how long sent data may remain unacknowledged or unread.
+
+    The kernel also applies this timeout to a live peer that has not read for
+    so long that its receive window is closed.
+
+    :param sock: A TCP socket.
+    :param timeout_ms: The timeout; 0 for none but that of retransmissions.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 async def connect(
     host: str,
     port: int,
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -32,6 +32,7 @@
 # Half of the shortest gap between events that a caller would notice.
 LATENESS_LIMIT_S = 0.1
 POLL_S = 0.05
+BODY_BYTES = 500_000
 
 End = abc.Callable[[http_client.Exchange], abc.Awaitable[None]]
 
@@ -272,18 +273,48 @@
         await running.listen_raw(address, read_slowly)
         running.register('i-1', 'plain', address)
         await running.wait_until(lambda: entry.endpoints.endpoints)
-        totals(running).bound_bytes = 250_000
+        totals(running).bound_bytes = 500_000
         async with curio.TaskGroup() as group:
-            await group.spawn(fails, running, bytes(200_000))
+            await group.spawn(fails, running, bytes(500_000))
             await running.wait_until(lambda: totals(running).total_bytes)
             # The larger one exceeds the total and is ended at once.
-            assert await curio.timeout_after(1, fails, running, bytes(220_000))
+            assert await curio.timeout_after(1, fails, running, bytes(600_000))
             assert totals(running).total_bytes > 100_000
         await wait_freed(running)
 
     bench.run(play)
 
 
+def test_an_endpoint_may_pause_within_a_body(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    """Guards against a user timeout that ends a slow endpoint's request."""
+
+    async def read_late(sock: curio.io.Socket, _address: object) -> None:
+        await curio.sleep(sockets.USER_TIMEOUT_MS / 1000 + 0.7)
+        unread_bytes = BODY_BYTES
+        while unread_bytes > 0:
+            unread_bytes -= len(await sock.recv(BODY_BYTES))
+        lines = [
+            f'{name}: {text}\r\n'
+            for name, text in exchange_headers.sealed('a1')
+        ]
+        head = f'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{"".join(lines)}'
+        await sock.sendall(f'{head}\r\n'.encode())
+
+    async def play(running: fleet_bench.FleetBench) -> None:
+        address = loopback.free_address()
+        entry = running.entry
+        entry.settings = attrs.evolve(entry.settings, bounds_slow_peers=True)
+        await running.listen_raw(address, read_late)
+        running.register('i-1', 'plain', address)
+        await running.wait_until(lambda: entry.endpoints.endpoints)
+        assert not await fails(running, bytes(BODY_BYTES))
+        await wait_freed(running)
+
+    bench.run(play)
+
+
 async def read_after_pause(exchange: http_client.Exchange) -> None:
     """Read an answer only after its endpoint could send a part of it."""
     try:
