--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,7 @@
-"""One runner sends interim responses without end; who is still answered?
+"""One runner sends bytes without end; who is still answered?
+
+They come in the head (interim responses) or, with FLOOD=body, in the body
+(chunks of one byte).
 
 The callers send bookings, which may not be repeated: they wait for the answer
 until their own time limit, which is longer than the route's.
@@ -6,6 +9,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import random
 import sys
@@ -28,6 +32,8 @@
 SEED = 43
 WORK_MS = 90
 TROUBLE_S = 5.0
+# Where the bytes come: in the head or in the body.
+FLOOD = os.environ.get('FLOOD', 'head')
 RUNNERS = 3
 BODY = b'yard=12&day=2026-12-05&deposit=250 '.ljust(600, b'.')
 
@@ -98,9 +104,9 @@
         await asyncio.sleep(max(0, due_s - site.record.now_s()))
         if trouble and not told and due_s - began_s >= TROUBLE_S:
             told = True
-            content = json.dumps({'flood': 'interim'}).encode()
+            content = json.dumps({'flood': FLOOD}).encode()
             await wire.call(runners[0], 'POST', '/standin', (), content)
-            site.record.note('runner i-0 answers with bytes without end now')
+            site.record.note(f'i-0 sends bytes without end now, in the {FLOOD}')
         entry = names[number % len(names)]
         tasks.append(asyncio.create_task(ask(site, entry, number, results)))
     await asyncio.gather(*tasks)
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -4,9 +4,10 @@
 
 It writes a line to RUNS_FILE for each request that it runs. HEADER is a line
 that it adds to the head of each answer, in UTF-8. ``POST /standin``
-with a JSON object changes how it answers: ``{"flood": "interim"}`` makes it
+with a JSON object changes how it answers: ``{"flood": "head"}`` makes it
 answer the next requests with bytes that are no answer, without end, until the
-caller closes the connection.
+caller closes the connection; with ``"body"`` they come in the body of an answer,
+in chunks of one byte.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 SLOTS = 6
 # An interim response is not an answer: the caller has to wait for another head.
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n' * 2000
+CHUNKS = b'1\r\nx\r\n' * 10000
 
 
 class Runner:
@@ -71,11 +73,21 @@
         """Send bytes until the caller closes the connection."""
         self._note('flood begins', attempt)
         sent_bytes = 0
+        block = INTERIM
+        if self.told['flood'] == 'body':
+            block = CHUNKS
+            lines = [
+                'HTTP/1.1 200 OK',
+                f'X-Camphorstair-Attempt-Id: {attempt}',
+                f'X-Camphorstair-Server-Seal: seal-{self.name}-{attempt}',
+                'Transfer-Encoding: chunked',
+            ]
+            writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
         try:
             while True:
-                writer.write(INTERIM)
+                writer.write(block)
                 await writer.drain()
-                sent_bytes += len(INTERIM)
+                sent_bytes += len(block)
         except ConnectionError:
             pass
         self._note('flood ended by the caller', attempt, sent_bytes)
