--- a/review/2/play.py
+++ b/review/2/play.py
@@ -51,7 +51,11 @@
     site.record.note(f'sent {attempt} to {entry}')
     try:
         answer = await wire.call(
-            site.entries[entry], 'POST', '/booking/2f', headers, BODY,
+            site.entries[entry],
+            'POST',
+            '/booking/2f',
+            headers,
+            BODY,
             limit_s=CLIENT_LIMIT_MS / 1000,
         )
         outcome = answer.first
@@ -80,15 +84,22 @@
         name = f'i-{number}'
         site.start_standin('runner', address, name, str(runs), str(WORK_MS))
         await site.wait_listening(address)
-        await site.put(f'servers/{name}', {
-            'Service': 'comptoir', 'Address': address, 'Zone': zone,
-            'Version': 'v1', 'Slots': 6, 'State': 'ready',
-            'ColdRemainingMs': 0, 'Sequence': 1,
-        })
+        await site.put(
+            f'servers/{name}',
+            {
+                'Service': 'comptoir',
+                'Address': address,
+                'Zone': zone,
+                'Version': 'v1',
+                'Slots': 6,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'Sequence': 1,
+            },
+        )
         runners.append(address)
     entries = [
-        site.start_entry(f'front-{zone}-1', zone)
-        for zone in site_module.ZONES
+        site.start_entry(f'front-{zone}-1', zone) for zone in site_module.ZONES
     ]
     await site.wait_ready()
     await asyncio.sleep(1.5)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -41,7 +41,10 @@
     ]
     try:
         answer = await wire.call(
-            site.entries[entry], 'GET', '/lookup/1', headers,
+            site.entries[entry],
+            'GET',
+            '/lookup/1',
+            headers,
             limit_s=CLIENT_LIMIT_MS / 1000,
         )
         outcome = f'{answer.first} {answer.body[:60].decode("latin-1")}'
@@ -92,14 +95,21 @@
         name = f'i-7f3a91c{number}'
         site.start_standin('runner', address, name, str(runs), str(WORK_MS))
         await site.wait_listening(address)
-        await site.put(f'servers/{name}', {
-            'Service': 'comptoir', 'Address': address, 'Zone': zone,
-            'Version': 'v1', 'Slots': 6, 'State': 'ready',
-            'ColdRemainingMs': 0, 'Sequence': 1,
-        })
+        await site.put(
+            f'servers/{name}',
+            {
+                'Service': 'comptoir',
+                'Address': address,
+                'Zone': zone,
+                'Version': 'v1',
+                'Slots': 6,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'Sequence': 1,
+            },
+        )
     return [
-        site.start_entry(f'front-{zone}-1', zone)
-        for zone in site_module.ZONES
+        site.start_entry(f'front-{zone}-1', zone) for zone in site_module.ZONES
     ]
 
 
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -162,11 +162,19 @@
         name = f'i-{number}'
         site.start_standin('runner', address, name, str(runs), str(WORK_MS))
         await site.wait_listening(address)
-        await site.put(f'servers/{name}', {
-            'Service': 'comptoir', 'Address': address, 'Zone': zone,
-            'Version': 'v1', 'Slots': 6, 'State': 'ready',
-            'ColdRemainingMs': 0, 'Sequence': 1,
-        })
+        await site.put(
+            f'servers/{name}',
+            {
+                'Service': 'comptoir',
+                'Address': address,
+                'Zone': zone,
+                'Version': 'v1',
+                'Slots': 6,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'Sequence': 1,
+            },
+        )
     entries = {
         f'front-{zone}-1': site.start_entry(f'front-{zone}-1', zone)
         for zone in site_module.ZONES
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import json
+import pathlib
 import sys
 import time
 
@@ -26,7 +27,7 @@
 class Runner:
     def __init__(self, name, runs_path, work_ms, header=''):
         self.name = name
-        self.runs = open(runs_path, 'a', buffering=1)
+        self.runs_path = pathlib.Path(runs_path)
         self.work_s = work_ms / 1000
         self.running = 0
         self.told = {}
@@ -94,7 +95,8 @@
 
     def _note(self, *words):
         text = ' '.join(str(word) for word in words)
-        self.runs.write(f'{time.monotonic():.3f} {self.name} {text}\n')
+        with self.runs_path.open('a') as runs:
+            runs.write(f'{time.monotonic():.3f} {self.name} {text}\n')
 
 
 async def main():
--- a/review/standins/site_of_review.py
+++ b/review/standins/site_of_review.py
@@ -28,17 +28,45 @@
 START_LIMIT_S = 25.0
 # Bounds of the small deployments' sheets.
 BOUNDS = {
-    'SeedLagS': 3, 'AddrReuseS': 2, 'ContactMs': 3000, 'AckMs': 4000,
-    'CatchUpS': 4, 'DrainMs': 2000, 'GraceS': 8, 'LossSlackMs': 200,
-    'ConfigApplyMs': 2000, 'RollbackSlackMs': 250, 'MaxSkewMs': 5000,
-    'RevokeFailClosed': True, 'RevokeMs': 5000, 'RetryBudgetRatio': 0.2,
-    'RetryWindowS': 10, 'RetrySlack': 88, 'ColdOver': 1.5, 'ColdSlack': 5,
-    'EvacMs': 5000, 'RecoverS': 12, 'PassMs': 120, 'RetryAfterS': 0,
-    'stall_ms': 1500, 'FencingRequired': False, 'ttl_max_s': 5,
+    'SeedLagS': 3,
+    'AddrReuseS': 2,
+    'ContactMs': 3000,
+    'AckMs': 4000,
+    'CatchUpS': 4,
+    'DrainMs': 2000,
+    'GraceS': 8,
+    'LossSlackMs': 200,
+    'ConfigApplyMs': 2000,
+    'RollbackSlackMs': 250,
+    'MaxSkewMs': 5000,
+    'RevokeFailClosed': True,
+    'RevokeMs': 5000,
+    'RetryBudgetRatio': 0.2,
+    'RetryWindowS': 10,
+    'RetrySlack': 88,
+    'ColdOver': 1.5,
+    'ColdSlack': 5,
+    'EvacMs': 5000,
+    'RecoverS': 12,
+    'PassMs': 120,
+    'RetryAfterS': 0,
+    'stall_ms': 1500,
+    'FencingRequired': False,
+    'ttl_max_s': 5,
 }
 CONTRACTS = [
-    'base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream',
-    'tenants', 'places', 'platform', 'experts',
+    'base',
+    'drain',
+    'config',
+    'cost',
+    'retry',
+    'recover',
+    'engine',
+    'stream',
+    'tenants',
+    'places',
+    'platform',
+    'experts',
 ]
 PORTS = {'Front': 8227, 'Ready': 8220, 'Directory': 8224}
 
@@ -64,28 +92,45 @@
 
 def route(name, kind, service, **fields):
     return {
-        'Name': name, 'Host': HOST, 'Prefix': f'/{name}/', 'RouteKind': kind,
-        'TimeoutMs': 2000, 'TargetLatencyMs': 300, 'Priority': 2,
-        'Service': service, 'MaxAttempts': 1 if kind == 'non_idempotent' else 2,
-        'Public': False, 'SessionAffinity': False, 'Resumable': False,
+        'Name': name,
+        'Host': HOST,
+        'Prefix': f'/{name}/',
+        'RouteKind': kind,
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 300,
+        'Priority': 2,
+        'Service': service,
+        'MaxAttempts': 1 if kind == 'non_idempotent' else 2,
+        'Public': False,
+        'SessionAffinity': False,
+        'Resumable': False,
         **fields,
     }
 
 
 def service(name, **fields):
     return {
-        'Name': name, 'HealthPath': '/health', 'MaxConnections': 96,
-        'Protocol': 'h1', 'TlsConfig': False, 'ColdStartS': 0.0,
-        'ColdPerS': 0.0, **fields,
+        'Name': name,
+        'HealthPath': '/health',
+        'MaxConnections': 96,
+        'Protocol': 'h1',
+        'TlsConfig': False,
+        'ColdStartS': 0.0,
+        'ColdPerS': 0.0,
+        **fields,
     }
 
 
 def configuration(version, routes, services, tenants):
     return {
-        'Version': version, 'Routes': routes, 'Services': services,
+        'Version': version,
+        'Routes': routes,
+        'Services': services,
         'Limits': {
-            'MaxHeaderBytes': 16384, 'MaxBodyBytes': 4194304,
-            'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000,
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 4194304,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000,
         },
         'Tenants': [
             {'Name': name, 'ApiKeys': keys, 'Priority': 1}
@@ -101,7 +146,9 @@
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.processes = []
-        self._network = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
+        self._network = (
+            f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
+        )
         self._hosts = 0
         self._logs = 0
         self.store = ''
@@ -128,8 +175,12 @@
         self._logs += 1
         output = (self.folder / f'{self._logs}.log').open('wb')
         process = subprocess.Popen(
-            command, cwd=REPOSITORY, env={**environment, **variables},
-            stdin=subprocess.DEVNULL, stdout=output, stderr=output,
+            command,
+            cwd=REPOSITORY,
+            env={**environment, **variables},
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
         )
         output.close()
         self.processes.append(process)
@@ -163,26 +214,41 @@
 
     def settings(self, name, host, zone, **fields):
         return {
-            'NodeName': name, 'Role': 'entry', 'MachineClass': 'front',
-            'ServedRoles': ['front', 'directory'], 'Ip': host, 'Zone': zone,
-            'Region': 'qc-est', 'Zones': dict.fromkeys(ZONES, 'qc-est'),
-            'Listen': {
-                part: f'{host}:{port}' for part, port in PORTS.items()
-            },
-            'InternalPorts': [7340, 7355], 'SeedAddrs': [], 'Bootstrap': True,
+            'NodeName': name,
+            'Role': 'entry',
+            'MachineClass': 'front',
+            'ServedRoles': ['front', 'directory'],
+            'Ip': host,
+            'Zone': zone,
+            'Region': 'qc-est',
+            'Zones': dict.fromkeys(ZONES, 'qc-est'),
+            'Listen': {part: f'{host}:{port}' for part, port in PORTS.items()},
+            'InternalPorts': [7340, 7355],
+            'SeedAddrs': [],
+            'Bootstrap': True,
             'FailureCounted': False,
             'Limits': {
-                'CpuShare': 0.537, 'CpuCores': 2, 'MemoryMb': 300,
-                'MaxFds': 4100, 'LinkMbps': 1000.0, 'DiskMb': 0,
+                'CpuShare': 0.537,
+                'CpuCores': 2,
+                'MemoryMb': 300,
+                'MaxFds': 4100,
+                'LinkMbps': 1000.0,
+                'DiskMb': 0,
             },
-            'DataPath': None, 'DiscoverySource': 'platform',
-            'EntryMode': 'directory', 'HeartbeatMs': 1200,
+            'DataPath': None,
+            'DiscoverySource': 'platform',
+            'EntryMode': 'directory',
+            'HeartbeatMs': 1200,
             'ActiveContracts': CONTRACTS,
             'FaultTolerance': {'Machines': 2, 'Zones': 1, 'Regions': 0},
             'Bounds': BOUNDS,
             'Platform': {
-                'Address': self.store, 'form': 'kv', 'WritesPerS': 400,
-                'ReadsPerS': 2000, 'HistoryS': 20, 'ValueBytes': 1048576,
+                'Address': self.store,
+                'form': 'kv',
+                'WritesPerS': 400,
+                'ReadsPerS': 2000,
+                'HistoryS': 20,
+                'ValueBytes': 1048576,
                 'TtlMinMs': 1000,
             },
             **fields,
@@ -191,7 +257,7 @@
     def start_role(self, role, settings):
         """Start a program with its command of the deploy file."""
         deploy = tomllib.loads((REPOSITORY / 'deploy/system.toml').read_text())
-        path = self.folder / f"{settings['NodeName']}.json"
+        path = self.folder / f'{settings["NodeName"]}.json'
         path.write_text(json.dumps(settings))
         return self.start(
             deploy['roles'][role]['run'].split(),
@@ -201,7 +267,7 @@
 
     def start_entry(self, name, zone, host='', **fields):
         host = host or self.address()
-        self.entries[name] = f"{host}:{PORTS['Front']}"
+        self.entries[name] = f'{host}:{PORTS["Front"]}'
         process = self.start_role(
             'entry', self.settings(name, host, zone, **fields)
         )
@@ -210,7 +276,7 @@
 
     async def ready(self, name):
         host = self.entries[name].partition(':')[0]
-        address = f"{host}:{PORTS['Ready']}"
+        address = f'{host}:{PORTS["Ready"]}'
         try:
             answer = await wire.call(
                 address, 'GET', '/camphorstair/ready', limit_s=1.0
@@ -264,9 +330,7 @@
     site = Site(folder)
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        broken = asyncio.run(
-            asyncio.wait_for(body(site, trouble), timeout=110)
-        )
+        broken = asyncio.run(asyncio.wait_for(body(site, trouble), timeout=110))
     except (CannotRun, OSError, TimeoutError, wire.Broken) as error:
         site.record.note(f'the case could not run: {error!r}')
         sys.exit(2)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -58,7 +58,9 @@
 
     def end_lease(self, lease):
         self.leases.pop(lease, None)
-        for key in [k for k, row in self.rows.items() if row['LeaseId'] == lease]:
+        for key in [
+            k for k, row in self.rows.items() if row['LeaseId'] == lease
+        ]:
             self.remove(key)
 
     async def expire(self):
@@ -167,7 +169,9 @@
                 ]
                 return 412, {'Items': items}
         puts = body.get('PutItems', ())
-        if any(p.get('LeaseId') and p['LeaseId'] not in self.leases for p in puts):
+        if any(
+            p.get('LeaseId') and p['LeaseId'] not in self.leases for p in puts
+        ):
             return 404, {}
         for put in puts:
             content = base64.b64decode(put['Value'])
