--- a/review/5/play.py
+++ b/review/5/play.py
@@ -16,7 +16,7 @@
 KEY = 'n2ctnfzs989anu6wsjnb'
 CLIENT_LIMIT_MS = 4026
 WORK_MS = 900
-CLIENTS = 9
+CLIENTS = 15
 # Size and number of the configurations: 5,800 organisations, and fewer changes
 # than the 400 of a day.
 ORGANISATIONS = 5800
