--- a/packages/agent/src/camphorstair_agent/claiming.py
+++ b/packages/agent/src/camphorstair_agent/claiming.py
@@ -11,7 +11,7 @@
 import curio
 import msgspec
 
-from camphorstair_core import idempotency, ownership, rules, vms
+from camphorstair_core import decoding, idempotency, ownership, rules, vms
 from camphorstair_runtime import clocks, node, platform
 
 KEY_PREFIX = 'camphorstair/keys/'
@@ -84,10 +84,7 @@
         name = f'{KEY_PREFIX}{claims.service}'
         stored = await self.client.get(name)
         if stored.mod_revision:
-            slot_map = msgspec.json.decode(
-                stored.value,
-                type=ownership.SlotMap,
-            )
+            slot_map = decoding.from_json(stored.value, ownership.SlotMap)
             ownership.apply_map(
                 claims, slot_map, request_start_s, clocks.moment()
             )
--- a/packages/agent/src/camphorstair_agent/fleet/listing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/listing.py
@@ -8,14 +8,14 @@
 
 import attrs
 import curio
-import msgspec
 
 from camphorstair_agent.fleet import state
-from camphorstair_core import vms
-from camphorstair_core.fleet import membership, store_copy
+from camphorstair_core import decoding, vms
+from camphorstair_core.fleet import store_copy
 from camphorstair_fleet import (
     crash_rows,
     keys,
+    member_rows,
     mirroring,
     restored_keys,
     source_choice,
@@ -23,7 +23,6 @@
 )
 from camphorstair_platform import (
     configuration,
-    fields,
     registrations,
     store,
     store_errors,
@@ -76,7 +75,7 @@
         while True:
             try:
                 await self._read_services()
-            except (store_errors.StoreError, fields.FormatError) as error:
+            except (store_errors.StoreError, decoding.FormatError) as error:
                 _LOG.warning('reading the configuration failed: %s', error)
             known = bool(self.agent.services)
             await curio.sleep(
@@ -128,7 +127,7 @@
     def _apply_endpoint(self, row: store_copy.Item) -> None:
         """Apply a change of an endpoint's registration.
 
-        :raises fields.FormatError: if it can't be decoded; the endpoint is
+        :raises decoding.FormatError: if it can't be decoded; the endpoint is
             then removed.
         """
         name = row.key.removeprefix(registrations.PREFIX)
@@ -147,17 +146,10 @@
     def _apply_member(self, row: store_copy.Item) -> None:
         """Apply a change of an entry's key.
 
-        :raises fields.FormatError: if it can't be decoded; the entry is then
+        :raises decoding.FormatError: if it can't be decoded; the entry is then
             removed.
         """
-        name = row.key.removeprefix(keys.MEMBERS_PREFIX)
+        name = member_rows.name_of(row)
         self.agent.members.pop(name, None)
         if row.content is not None:
-            self.agent.members[name] = _decode_member(row.content)
-
-
-def _decode_member(content: bytes) -> membership.Member:
-    try:
-        return msgspec.json.decode(content, type=membership.Member)
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid member: {error}') from error
+            self.agent.members[name] = member_rows.decode(row)
--- a/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
+++ b/packages/agent/src/camphorstair_agent/fleet/order_crashes.py
@@ -24,7 +24,7 @@
     suspect_kinds,
 )
 from camphorstair_fleet import crash_checks, keys
-from camphorstair_platform import fields, store, store_errors
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import clocks
 
 # The orders that are given again with each new map. An order to go on is never
@@ -143,7 +143,7 @@
             lease = await self.client.grant(crash_reports.REPORT_LIFE_S)
             put = store.Put(key, msgspec.json.encode(reports), lease)
             await self.client.transact((), (put,))
-        except (store_errors.StoreError, fields.FormatError) as error:
+        except store_errors.StoreError as error:
             _LOG.warning('%s not written: %s', key, error)
             return False
         self.last_published = reports
--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -14,10 +14,11 @@
 import curio
 
 from camphorstair_agent.fleet import rank_datagrams, state
+from camphorstair_core import decoding
 from camphorstair_core.experts import group_orders
 from camphorstair_core.fleet import membership, roster
 from camphorstair_fleet import internal_messages
-from camphorstair_platform import engines, fields
+from camphorstair_platform import engines
 from camphorstair_runtime import clocks, http_client, http_messages
 
 AGENT_LIMIT_S = 0.3
@@ -178,7 +179,7 @@
             return
         try:
             report = engines.decode_report(reply.body)
-        except fields.FormatError as error:
+        except decoding.FormatError as error:
             _LOG.warning('malformed report of rank %s: %s', rank, error)
             return
         if report.rank is not None:
--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -13,9 +13,10 @@
 import curio
 
 from camphorstair_agent.fleet import engine_calls
+from camphorstair_core import decoding
 from camphorstair_core.experts import count_increases
 from camphorstair_fleet import internal_answers, internal_messages
-from camphorstair_platform import engines, fields
+from camphorstair_platform import engines
 from camphorstair_runtime import http_client, http_messages, http_server
 
 # Time for an agent to which a call is passed on.
@@ -67,14 +68,14 @@
         """
         try:
             answer = await self._answer(request)
-        except (http_client.HttpError, fields.FormatError) as error:
-            answer = internal_answers.failure(
-                http.HTTPStatus.BAD_GATEWAY, error
-            )
         except internal_messages.MessageError as message_error:
             answer = internal_answers.failure(
                 http.HTTPStatus.BAD_REQUEST, message_error
             )
+        except (http_client.HttpError, decoding.FormatError) as error:
+            answer = internal_answers.failure(
+                http.HTTPStatus.BAD_GATEWAY, error
+            )
         await responder.respond(answer)
 
     async def serve_datagrams(self, host: str, port: int) -> None:
@@ -135,7 +136,7 @@
             status = await self._execute_order(order)
         try:
             state = await self._read_state()
-        except (http_client.HttpError, fields.FormatError) as error:
+        except (http_client.HttpError, decoding.FormatError) as error:
             _LOG.warning('state of the rank not read: %s', error)
             state = None
         return internal_messages.RankReply(call.number, status, state)
@@ -164,12 +165,12 @@
     async def _read_state(self) -> internal_messages.RankState:
         """Read the rank's state from the engine.
 
-        :raises fields.FormatError: if the engine is not a rank of a group.
+        :raises decoding.FormatError: if the engine is not a rank of a group.
         """
         answer = await self.calls.call(engines.report_request())
         report = engines.decode_report(answer.body)
         if report.rank is None:
-            raise fields.FormatError('the engine is not a rank of a group')
+            raise decoding.FormatError('the engine is not a rank of a group')
         return internal_messages.RankState(report.rank, report.pace)
 
     async def _read_experts(self) -> internal_messages.RankExperts:
--- a/packages/agent/src/camphorstair_agent/fleet/sensing.py
+++ b/packages/agent/src/camphorstair_agent/fleet/sensing.py
@@ -7,8 +7,9 @@
 import curio
 
 from camphorstair_agent.fleet import engine_calls, state
+from camphorstair_core import decoding
 from camphorstair_fleet import internal_messages
-from camphorstair_platform import engines, fields
+from camphorstair_platform import engines
 from camphorstair_runtime import clocks, http_client, settings
 
 INTERVAL_S = 0.1
@@ -52,7 +53,7 @@
         try:
             answer = await self.calls.call(engines.report_request())
             self.agent.report = engines.decode_report(answer.body)
-        except (http_client.HttpError, fields.FormatError) as error:
+        except (http_client.HttpError, decoding.FormatError) as error:
             self.agent.report = None
             if before is not None:
                 _LOG.warning('reading the engine report failed: %s', error)
--- a/packages/agent/src/camphorstair_agent/fleet/slot_granting.py
+++ b/packages/agent/src/camphorstair_agent/fleet/slot_granting.py
@@ -7,9 +7,10 @@
 import curio
 
 from camphorstair_agent.fleet import engine_calls, state
+from camphorstair_core import decoding
 from camphorstair_core.fleet import placement, slot_grants
 from camphorstair_fleet import internal_messages
-from camphorstair_platform import engines, fields
+from camphorstair_platform import engines
 from camphorstair_runtime import clocks, http_client
 
 # Requests that arrive within this time are decided together. It is also the
@@ -115,7 +116,7 @@
         try:
             answer = await self.calls.call(engines.report_request())
             return engines.decode_report(answer.body)
-        except (http_client.HttpError, fields.FormatError) as error:
+        except (http_client.HttpError, decoding.FormatError) as error:
             _LOG.debug('no slot granted: %s', error)
             return None
 
--- a/packages/agent/src/camphorstair_agent/orders.py
+++ b/packages/agent/src/camphorstair_agent/orders.py
@@ -12,7 +12,7 @@
 import curio
 import msgspec
 
-from camphorstair_core import order_messages
+from camphorstair_core import decoding, order_messages
 from camphorstair_core.experts import fencing, switch
 from camphorstair_runtime import (
     http_client,
@@ -127,9 +127,9 @@
             return True
         answer = await self.exchange('GET', b'')
         try:
-            report = msgspec.json.decode(answer.body, type=switch.RankReport)
-            staged = msgspec.json.decode(order.body, type=_StagedMap)
-        except msgspec.DecodeError as error:
+            report = decoding.from_json(answer.body, switch.RankReport)
+            staged = decoding.from_json(order.body, _StagedMap)
+        except decoding.FormatError as error:
             _LOG.warning(
                 'order to stage a map refused: malformed message: %s', error
             )
--- a/packages/core/src/camphorstair_core/affinity.py
+++ b/packages/core/src/camphorstair_core/affinity.py
@@ -10,7 +10,7 @@
 import attrs
 import msgspec
 
-from camphorstair_core import endpoints
+from camphorstair_core import decoding, endpoints
 
 PREFIX_BYTES = 1024
 LOAD_BOUND = 1.25
@@ -61,8 +61,8 @@
     :returns: The hash, or 0 if the body can't be decoded or holds no messages.
     """
     try:
-        prompt = msgspec.json.decode(body, type=_Prompt)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        prompt = decoding.from_json(body, _Prompt)
+    except decoding.FormatError:
         return 0
     if not prompt.messages:
         return 0
--- a/packages/core/src/camphorstair_core/fleet/quarantine.py
+++ b/packages/core/src/camphorstair_core/fleet/quarantine.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from camphorstair_core import decoding
+
 # How long a suspect stays quarantined after the conclusion or the last trial.
 QUARANTINE_S = 600.0
 # Time before the first trial, and the same for a suspect that is only one of
@@ -18,6 +20,8 @@
 # Each trial waits this many times as long as the one before.
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 540.0
+# Trials after which the delay does not grow any more.
+MAX_DELAY_STEPS = 8
 
 
 @attrs.frozen
@@ -31,8 +35,8 @@
     """
 
     part: str
-    remaining_s: float
-    trials: int = 0
+    remaining_s: decoding.Duration
+    trials: decoding.Amount = 0
 
 
 @attrs.define
@@ -112,4 +116,5 @@
     :param sole: Whether nothing else may be the cause.
     """
     first_s = FIRST_TRIAL_S if sole else DOUBTFUL_TRIAL_S
-    return min(first_s * TRIAL_DELAY_FACTOR**trials, MAX_TRIAL_DELAY_S)
+    delay_factor = TRIAL_DELAY_FACTOR ** min(trials, MAX_DELAY_STEPS)
+    return min(first_s * delay_factor, MAX_TRIAL_DELAY_S)
--- a/packages/entry/src/camphorstair/callers.py
+++ b/packages/entry/src/camphorstair/callers.py
@@ -15,6 +15,7 @@
     forwarding,
 )
 from camphorstair_core import (
+    decoding,
     errors,
     keys,
     messages,
@@ -183,12 +184,7 @@
     header_text = request.header(TIMEOUT_HEADER)
     if not header_text:
         return DEFAULT_LIMIT_S
-    is_number = header_text.isascii() and header_text.isdigit()
-    limit_s = (
-        int(header_text) / _MS_IN_S
-        if is_number and len(header_text) < 10
-        else 0
-    )
+    limit_s = (decoding.whole_number_or(header_text, 0) or 0) / _MS_IN_S
     if 0 < limit_s <= MAX_LIMIT_S:
         return limit_s
     raise errors.RequestError(
@@ -237,8 +233,8 @@
     if request.path != routing.COMPLETIONS_PATH:
         return None
     try:
-        return msgspec.json.decode(request.body, type=_ModelName).model
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        return decoding.from_json(request.body, _ModelName).model
+    except decoding.FormatError as fault:
         raise errors.RequestError(
             errors.bad_request,
             f'the body is not a chat completion request: {fault}',
--- a/packages/entry/src/camphorstair/fleet/crash_reporting.py
+++ b/packages/entry/src/camphorstair/fleet/crash_reporting.py
@@ -21,7 +21,7 @@
     suspect_kinds,
 )
 from camphorstair_fleet import keys
-from camphorstair_platform import fields, store, store_errors
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import clocks
 
 # Time in which the broken answers of one crash are collected into one report.
@@ -201,7 +201,7 @@
             lease = await self.client.grant(ttl_s)
             put = store.Put(key, msgspec.json.encode(content), lease)
             await self.client.transact((), (put,))
-        except (store_errors.StoreError, fields.FormatError) as error:
+        except store_errors.StoreError as error:
             _LOG.warning('%s not written: %s', key, error)
             return False
         return True
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -7,10 +7,9 @@
 import logging
 
 import attrs
-import msgspec
 
 from camphorstair.fleet import dispatch, quarantining, state
-from camphorstair_core import vms
+from camphorstair_core import decoding, vms
 from camphorstair_core.fleet import (
     membership,
     roster,
@@ -20,17 +19,13 @@
 from camphorstair_fleet import (
     crash_rows,
     keys,
+    member_rows,
     mirroring,
     restored_keys,
     source_choice,
     sources,
 )
-from camphorstair_platform import (
-    configuration,
-    fields,
-    registrations,
-    store,
-)
+from camphorstair_platform import configuration, registrations, store
 from camphorstair_runtime import clocks
 
 # Prefixes of all keys that an entry reads, for itself and for agents.
@@ -154,7 +149,7 @@
     def _apply_endpoint(self, item: store_copy.Item) -> None:
         """Apply a change of an endpoint's registration.
 
-        :raises fields.FormatError: if it can't be decoded; the endpoint is
+        :raises decoding.FormatError: if it can't be decoded; the endpoint is
             then removed.
         """
         name = item.key.removeprefix(registrations.PREFIX)
@@ -166,7 +161,7 @@
             return
         try:
             registration = registrations.decode(name, item.content)
-        except fields.FormatError:
+        except decoding.FormatError:
             # An endpoint whose registration can't be decoded is not used.
             roster.unregister(self.entry.endpoints, name, None)
             raise
@@ -180,12 +175,12 @@
 
     def _apply_member(self, item: store_copy.Item) -> None:
         """Apply a change of a member's key; update the count of entries."""
-        name = item.key.removeprefix(keys.MEMBERS_PREFIX)
+        name = member_rows.name_of(item)
         members = self.entry.members
         if item.content is None:
             membership.leave(members, name, self.mirror.absent_deadline_s())
         else:
-            membership.join(members, _decode_member(item.content))
+            membership.join(members, member_rows.decode(item))
         now_s = clocks.monotonic_s()
         self.entry.entry_count.note(len(members.present), now_s)
         _LOG.info(
@@ -193,14 +188,3 @@
             'gone' if item.content is None else 'joined',
             extra={'member': name, 'members': len(members.present)},
         )
-
-
-def _decode_member(content: bytes) -> membership.Member:
-    """Return the member that a value holds.
-
-    :raises fields.FormatError: if it holds none.
-    """
-    try:
-        return msgspec.json.decode(content, type=membership.Member)
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid member: {error}') from error
--- a/packages/entry/src/camphorstair/fleet/joining.py
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -8,7 +8,7 @@
 
 from camphorstair.fleet import state
 from camphorstair_fleet import keys
-from camphorstair_platform import fields, store, store_errors
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import clocks
 
 # Time to live of the lease. A renewal that takes longer may arrive after the
@@ -53,7 +53,7 @@
                 _LOG.warning('membership has ended: %s', ended)
                 self.lease = 0
                 continue
-            except (store_errors.StoreError, fields.FormatError) as error:
+            except store_errors.StoreError as error:
                 _LOG.warning('membership not renewed: %s', error)
             spent_s = clocks.monotonic_s() - started_s
             await curio.sleep(max(0.1, RENEW_INTERVAL_S - spent_s))
@@ -73,7 +73,6 @@
                 await self.client.transact((), (), (key,))
         except (
             store_errors.StoreError,
-            fields.FormatError,
             curio.TaskTimeout,
         ) as error:
             _LOG.warning(
--- a/packages/entry/src/camphorstair/fleet/quarantining.py
+++ b/packages/entry/src/camphorstair/fleet/quarantining.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorstair.fleet import crash_state, state
+from camphorstair_core import decoding
 from camphorstair_core.fleet import (
     crash_reports,
     quarantine,
@@ -17,7 +18,7 @@
     suspect_kinds,
 )
 from camphorstair_fleet import keys
-from camphorstair_platform import fields, store, store_errors
+from camphorstair_platform import store, store_errors
 from camphorstair_runtime import clocks
 
 # A conclusion that puts a trial off by less than this is no news, nor is the
@@ -89,7 +90,7 @@
         key = keys.quarantined(suspect)
         try:
             await self.client.transact((), (), (key,))
-        except (store_errors.StoreError, fields.FormatError) as error:
+        except store_errors.StoreError as error:
             _LOG.warning('%s not removed: %s', key, error)
             return False
         return True
@@ -112,7 +113,7 @@
             lease = await self.client.grant(quarantine.QUARANTINE_S)
             put = store.Put(key, msgspec.json.encode(row), lease)
             revision = await self.client.transact(conditions, (put,))
-        except (store_errors.StoreError, fields.FormatError) as error:
+        except store_errors.StoreError as error:
             _LOG.warning('%s not written: %s', key, error)
             return False
         hold.revision = revision
@@ -128,13 +129,13 @@
 
     :param item: The key, with its value if it was not removed.
     :param era: Era of the store.
-    :raises fields.FormatError: if the value can't be decoded.
+    :raises decoding.FormatError: if the value can't be decoded.
     """
     crashes = entry.crashes
     suspect = item.key.removeprefix(keys.QUARANTINE_PREFIX)
     hold = crashes.quarantined.holds.get(suspect)
     if item.content is not None:
-        row = _decode(item.content)
+        row = decoding.from_json(item.content, quarantine.QuarantinedSuspect)
         hold = crashes.quarantined.add(
             suspect, row.remaining_s, clocks.monotonic_s()
         )
@@ -163,14 +164,3 @@
     if hold.end_s - now_s > MIN_EXTENSION_S:
         crash_reports.release(crashes.history, suspect, now_s)
     crashes.quarantined.release(suspect)
-
-
-def _decode(content: bytes) -> quarantine.QuarantinedSuspect:
-    """Return the quarantine that a value holds.
-
-    :raises fields.FormatError: if it holds none.
-    """
-    try:
-        return msgspec.json.decode(content, type=quarantine.QuarantinedSuspect)
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid quarantine: {error}') from error
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -28,9 +28,10 @@
     sensing,
     state,
 )
+from camphorstair_core import decoding
 from camphorstair_core.fleet import crash_reports, membership, roster
 from camphorstair_fleet import metrics_page
-from camphorstair_platform import boot, fields, store
+from camphorstair_platform import boot, store
 from camphorstair_runtime import (
     bounded_logs,
     clocks,
@@ -172,7 +173,7 @@
     while await signal_socket.recv(1) == bytes([signal.SIGHUP]):
         try:
             told = boot.decode(boot.path().read_bytes())
-        except (OSError, fields.FormatError) as error:
+        except (OSError, decoding.FormatError) as error:
             _LOG.error(
                 'settings not reloaded, the last ones stay in use: %s', error
             )
--- a/packages/entry/src/camphorstair/log_commands.py
+++ b/packages/entry/src/camphorstair/log_commands.py
@@ -3,11 +3,10 @@
 import pathlib
 import typing
 
-import msgspec
 import typer
 
 from camphorstair import command_options
-from camphorstair_core import late_requests, request_traces
+from camphorstair_core import decoding, late_requests, request_traces
 
 Request = typing.Annotated[
     str,
@@ -79,6 +78,6 @@
     """Return the log entry of a line, or None if the line has none."""
     _prefix, brace, content = line.partition('{')
     try:
-        return msgspec.json.decode(brace + content, type=request_traces.LogLine)
-    except msgspec.DecodeError:
+        return decoding.from_json(brace + content, request_traces.LogLine)
+    except decoding.FormatError:
         return None
--- a/packages/entry/src/camphorstair/planning.py
+++ b/packages/entry/src/camphorstair/planning.py
@@ -16,7 +16,7 @@
 import curio
 import msgspec
 
-from camphorstair_core import order_messages
+from camphorstair_core import decoding, order_messages
 from camphorstair_core.experts import fencing, switch
 from camphorstair_runtime import links
 
@@ -145,8 +145,8 @@
         if reply.decision != fencing.Decision.passed:
             return False
         try:
-            report = msgspec.json.decode(reply.engine, type=switch.RankReport)
-        except msgspec.DecodeError as error:
+            report = decoding.from_json(reply.engine, switch.RankReport)
+        except decoding.FormatError as error:
             _LOG.warning('%s: invalid report of the rank: %s', name, error)
             return False
         self.boots[name] = reply.boot
--- a/packages/entry/src/camphorstair/rules_file.py
+++ b/packages/entry/src/camphorstair/rules_file.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from camphorstair_core import rule_reader
+from camphorstair_core import decoding, rule_reader
 
 BASE_SUFFIX = '.base'
 
@@ -40,7 +40,7 @@
         base_text = _base_path(path).read_text(encoding='utf-8').strip()
     except OSError:
         return None
-    return int(base_text) if base_text.isdecimal() else None
+    return decoding.whole_number_or(base_text, None)
 
 
 def write_base(path: pathlib.Path, revision: int) -> None:
--- a/packages/fleet/src/camphorstair_fleet/crash_rows.py
+++ b/packages/fleet/src/camphorstair_fleet/crash_rows.py
@@ -1,10 +1,8 @@
 """Reads the reports of crashes that entries and agents write to the store."""
 
-import msgspec
-
+from camphorstair_core import decoding
 from camphorstair_core.fleet import crash_reports, store_copy
 from camphorstair_fleet import keys
-from camphorstair_platform import fields
 from camphorstair_runtime import clocks
 
 
@@ -21,16 +19,13 @@
     :param history: What is known.
     :param own_name: Name of the VM of this process.
     :param item: The key of the reports.
-    :raises fields.FormatError: if the value can't be decoded.
+    :raises decoding.FormatError: if the value can't be decoded.
     """
     if item.content is None:
         return
-    try:
-        reports = msgspec.json.decode(
-            item.content, type=tuple[crash_reports.CrashReport, ...]
-        )
-    except msgspec.DecodeError as error:
-        raise fields.FormatError(f'invalid reports: {error}') from error
+    reports = decoding.from_json(
+        item.content, tuple[crash_reports.CrashReport, ...]
+    )
     reporter = item.key.removeprefix(keys.CRASHES_PREFIX)
     is_own = reporter == own_name
     for report in reports:
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from camphorstair_core import decoding
 from camphorstair_core.experts import even_maps, group_orders
 from camphorstair_core.fleet import store_copy
 
@@ -23,7 +24,7 @@
 Message = typing.TypeVar('Message')
 
 
-class MessageError(ValueError):
+class MessageError(decoding.FormatError):
     """The bytes do not decode to a message of the expected type."""
 
 
@@ -52,8 +53,8 @@
     """
 
     update: store_copy.Update
-    age_s: float
-    held_s: float
+    age_s: decoding.Duration
+    held_s: decoding.Duration
 
 
 @attrs.frozen
@@ -70,11 +71,11 @@
     """
 
     address: str
-    running: int
-    waiting: int
-    pace: float
+    running: decoding.Amount
+    waiting: decoding.Amount
+    pace: decoding.Duration
     is_open: bool
-    kv_used: int | None = None
+    kv_used: decoding.Amount | None = None
 
 
 @attrs.frozen
@@ -92,8 +93,8 @@
     number: int
     address: str
     entry: str
-    tier: int
-    wanted: int
+    tier: decoding.Amount
+    wanted: decoding.Amount
 
 
 @attrs.frozen
@@ -107,7 +108,7 @@
 
     number: int
     address: str
-    valid_s: float
+    valid_s: decoding.Duration
 
 
 @attrs.frozen
@@ -119,7 +120,7 @@
     """
 
     report: group_orders.RankReport
-    pace: float = 1.0
+    pace: decoding.Duration = 1.0
 
 
 @attrs.frozen
@@ -185,8 +186,8 @@
         rank last passed on its counts.
     """
 
-    ranks: int
-    sets: tuple[tuple[int, ...], ...]
+    ranks: decoding.Amount
+    sets: tuple[tuple[decoding.Amount, ...], ...]
 
 
 @attrs.frozen
@@ -274,6 +275,6 @@
     :raises MessageError: if the content is no message of that class.
     """
     try:
-        return msgspec.msgpack.decode(content, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise MessageError(f'invalid {kind.__name__}: {error}') from error
+        return decoding.from_msgpack(content, kind)
+    except decoding.FormatError as error:
+        raise MessageError(str(error)) from error
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -6,9 +6,10 @@
 import attrs
 import curio
 
+from camphorstair_core import decoding
 from camphorstair_core.fleet import content_age, store_copy
 from camphorstair_fleet import sources
-from camphorstair_platform import fields, store_errors
+from camphorstair_platform import store_errors
 from camphorstair_runtime import clocks
 
 # Pause before the next watch after changes. Changes often come in bursts, as when
@@ -110,7 +111,7 @@
         except store_errors.HistoryLostError as history_lost:
             _LOG.warning('reading all keys again: %s', history_lost)
             store_copy.read_again(known)
-        except (store_errors.StoreError, fields.FormatError) as error:
+        except store_errors.StoreError as error:
             self.failed = True
             self._record_failure(sent_s, error)
             await curio.sleep(RETRY_INTERVAL_S)
@@ -137,10 +138,17 @@
             await event.set()
 
     def _apply_change(self, row: store_copy.Item) -> None:
+        """Apply a change; one that can't be applied is logged.
+
+        Those after it must be applied nevertheless: the copy counts them as
+        known, so no source will bring them again.
+        """
         try:
             self.apply(row)
-        except fields.FormatError as error:
+        except decoding.FormatError as error:
             _LOG.warning('unusable value of %s: %s', row.key, error)
+        except Exception:  # noqa: BLE001, the reason is in the docstring
+            _LOG.exception('change of %s not applied', row.key)
 
     def _record_proof(self, confirmed_s: float) -> None:
         """Record that the content was confirmed as of the given time."""
--- a/packages/fleet/src/camphorstair_fleet/restored_keys.py
+++ b/packages/fleet/src/camphorstair_fleet/restored_keys.py
@@ -1,8 +1,9 @@
 """Decides which keys count at once after the store came back from a copy."""
 
+from camphorstair_core import decoding
 from camphorstair_core.fleet import roster, store_copy
 from camphorstair_fleet import keys
-from camphorstair_platform import fields, registrations
+from camphorstair_platform import registrations
 
 
 def applies_at_once(
@@ -31,6 +32,6 @@
     name = row.key.removeprefix(registrations.PREFIX)
     try:
         registration = registrations.decode(name, row.content or b'')
-    except fields.FormatError:
+    except decoding.FormatError:
         return False
     return registration.state is roster.EndpointState.ready
--- a/packages/runtime/src/camphorstair_runtime/configuration_values.py
+++ b/packages/runtime/src/camphorstair_runtime/configuration_values.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from camphorstair_core import changes, configuration, deltas
+from camphorstair_core import changes, configuration, decoding, deltas
 from camphorstair_runtime import platform, platform_messages
 
 PREFIX = 'camphorstair/configuration'
@@ -80,8 +80,8 @@
     if not pair.mod_revision:
         return StoredHead(None, 0)
     try:
-        head = msgspec.json.decode(pair.value, type=Head)
-    except msgspec.DecodeError as fault:
+        head = decoding.from_json(pair.value, Head)
+    except decoding.FormatError as fault:
         raise StoreError(f'{HEAD_KEY}: {fault}') from fault
     return StoredHead(head, pair.mod_revision)
 
@@ -114,11 +114,11 @@
     :raises StoreError: if the value is corrupt or does not match its digest.
     """
     try:
-        snapshot = msgspec.msgpack.decode(value, type=Snapshot)
+        snapshot = decoding.from_msgpack(value, Snapshot)
         decompressor = zlib.decompressobj()
         raw = decompressor.decompress(snapshot.compressed, MAX_TEXT_BYTES)
         text = raw.decode()
-    except (msgspec.DecodeError, zlib.error, UnicodeDecodeError) as fault:
+    except (decoding.FormatError, zlib.error, UnicodeDecodeError) as fault:
         raise StoreError(f'snapshot: {fault}') from fault
     if deltas.digest(text) != snapshot.digest:
         raise StoreError(
@@ -137,8 +137,8 @@
     :raises StoreError: if the value is corrupt.
     """
     try:
-        return msgspec.json.decode(pair.value, type=changes.Change)
-    except msgspec.DecodeError as fault:
+        return decoding.from_json(pair.value, changes.Change)
+    except decoding.FormatError as fault:
         raise StoreError(f'{pair.key}: {fault}') from fault
 
 
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -267,19 +267,20 @@
     :param limit_s: Timeout of the connect, including the TLS handshake.
     :raises HttpError: if the connect fails or times out.
     """
-    host, port = settings.split_address(address)
     try:
-        sock = await curio.timeout_after(
-            limit_s,
-            sockets.connect(host, port, context),
-        )
-    except (OSError, curio.TaskTimeout) as error:
+        sock = await curio.timeout_after(limit_s, _open, address, context)
+    except (OSError, ValueError, curio.TaskTimeout) as error:
         raise HttpError(
             f'connect to {address}: {error!r}', sent=False
         ) from error
     return Exchange(sock, h11.Connection(h11.CLIENT))
 
 
+async def _open(address: str, context: typing.Any) -> curio.io.Socket:
+    host, port = settings.split_address(address)
+    return await sockets.connect(host, port, context)
+
+
 async def send(
     exchange: Exchange,
     host: str,
--- a/packages/runtime/src/camphorstair_runtime/leases.py
+++ b/packages/runtime/src/camphorstair_runtime/leases.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from camphorstair_core import decoding
 from camphorstair_runtime import platform, platform_messages
 
 PREFIX = 'camphorstair/leases/'
@@ -156,8 +157,8 @@
     if not pair.mod_revision:
         return None
     try:
-        return msgspec.json.decode(pair.value, type=Owner)
-    except msgspec.DecodeError as fault:
+        return decoding.from_json(pair.value, Owner)
+    except decoding.FormatError as fault:
         raise LeaseError(f'lease "{name}": {fault}') from fault
 
 
@@ -200,9 +201,10 @@
 def _fencing_number(counter: platform.KeyValue) -> int:
     if not counter.mod_revision:
         return 0
-    if not counter.value.isdigit():
-        raise LeaseError(f'{counter.key}: {counter.value!r} is not a number')
-    return int(counter.value)
+    try:
+        return decoding.whole_number(counter.value)
+    except decoding.FormatError as fault:
+        raise LeaseError(f'{counter.key}: {fault}') from fault
 
 
 def _deadline_s(sent_s: float, platform_lease: platform.Lease) -> float:
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -9,13 +9,12 @@
 import struct
 import types
 import typing
-from collections import abc
 
 import attrs
 import curio
 import msgspec
 
-from camphorstair_core import messages
+from camphorstair_core import decoding, messages
 from camphorstair_runtime import sockets, traffic
 
 MAX_MESSAGE_BYTES = 16777216
@@ -36,13 +35,6 @@
         messages.ResponseFailed,
     ),
 )
-_DECODERS: abc.Mapping[int, msgspec.msgpack.Decoder[typing.Any]]
-_DECODERS = types.MappingProxyType(
-    {
-        number: msgspec.msgpack.Decoder(kind)
-        for number, kind in messages.KINDS.items()
-    },
-)
 
 
 class LinkError(Exception):
@@ -62,12 +54,12 @@
     :param body: The body as MessagePack.
     :raises LinkError: if the kind is unknown or the body is invalid for it.
     """
-    decoder = _DECODERS.get(number)
-    if decoder is None:
+    kind = messages.KINDS.get(number)
+    if kind is None:
         raise LinkError(f'unknown message kind {number}')
     try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
+        return decoding.from_msgpack(body, kind)
+    except decoding.FormatError as error:
         raise LinkError(f'message of kind {number}: {error}') from error
 
 
--- a/packages/runtime/src/camphorstair_runtime/platform.py
+++ b/packages/runtime/src/camphorstair_runtime/platform.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from camphorstair_core import decoding
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -322,14 +323,19 @@
 
 def _decode(body: bytes, kind: type[Reply]) -> Reply:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return decoding.from_json(body, kind)
+    except decoding.FormatError as error:
         raise PlatformError(f'invalid reply: {error}') from error
 
 
 def _to_key_value(raw: platform_messages.RawKeyValue) -> KeyValue:
-    key = base64.b64decode(raw.key).decode()
-    return KeyValue(base64.b64decode(raw.value), int(raw.mod_revision), key)
+    try:
+        key = base64.b64decode(raw.key).decode()
+        content = base64.b64decode(raw.value)
+        revision = decoding.whole_number(raw.mod_revision)
+    except ValueError as error:
+        raise PlatformError(f'invalid key-value pair: {error}') from error
+    return KeyValue(content, revision, key)
 
 
 def _to_lease(reply: platform_messages.LeaseReply) -> Lease:
--- a/packages/runtime/src/camphorstair_runtime/settings.py
+++ b/packages/runtime/src/camphorstair_runtime/settings.py
@@ -5,7 +5,8 @@
 import typing
 
 import attrs
-import msgspec
+
+from camphorstair_core import decoding
 
 Checked = typing.TypeVar('Checked', bound='EntrySettings | AgentSettings')
 
@@ -167,11 +168,11 @@
         table = tomllib.loads(path.read_text(encoding='utf-8'))
     except OSError as error:
         raise SettingsError(f'{path}: {error.strerror}') from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+    except (ValueError, RecursionError) as fault:
         raise SettingsError(f'{path}: {fault}') from fault
     try:
         return _check(table, kind)
-    except (ValueError, msgspec.ValidationError) as fault:
+    except ValueError as fault:
         raise SettingsError(f'{path}: {fault}') from fault
 
 
@@ -181,14 +182,15 @@
     :raises ValueError: if the address is not of this form.
     """
     host, _, port = address.rpartition(':')
-    if not host or not (port.isascii() and port.isdigit()):
-        raise ValueError(f'"{address}" is not of the form IP:port')
-    return host.strip('[]'), int(port)
+    number = decoding.whole_number_or(port, None)
+    if not host or number is None or number > decoding.MAX_PORT:
+        raise ValueError(f'"{address:.80}" is not of the form IP:port')
+    return host.strip('[]'), number
 
 
 def _check(table: dict[str, object], kind: type[Checked]) -> Checked:
     _reject_unknown(table, kind, '')
-    converted = msgspec.convert(table, kind)
+    converted = decoding.convert(table, kind)
     _check_addresses(converted)
     _check_security(converted.security)
     _check_bounds(converted)
--- a/packages/runtime/src/camphorstair_runtime/vm_list.py
+++ b/packages/runtime/src/camphorstair_runtime/vm_list.py
@@ -2,9 +2,8 @@
 
 import attrs
 import curio
-import msgspec
 
-from camphorstair_core import vms
+from camphorstair_core import decoding, vms
 from camphorstair_runtime import http_client
 
 READ_LIMIT_S = 2.0
@@ -38,10 +37,10 @@
             address,
             '/v1/vms',
         )
-        return msgspec.json.decode(response.body, type=VmList).vms
+        return decoding.from_json(response.body, VmList).vms
     except (
         http_client.HttpError,
         curio.TaskTimeout,
-        msgspec.DecodeError,
+        decoding.FormatError,
     ) as error:
         raise VmListError(f'{address}: {error!r}') from error
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -6,12 +6,12 @@
 import fleet_bench
 import pytest
 
+from camphorstair_core import decoding
 from camphorstair_core.experts import group_orders
 from camphorstair_platform import (
     boot,
     configuration,
     engines,
-    fields,
     headers,
     registrations,
 )
@@ -23,7 +23,7 @@
     '|kv-(key|range|watch|txn)|x-camphorstair-(server|expect|tenant|not-run)',
 )
 GOOD = (
-    b'{"Service": "s", "Address": "1:1", "Zone": "z", "Slots": 4,'
+    b'{"Service": "s", "Address": "10.0.0.1:1", "Zone": "z", "Slots": 4,'
     b'"State": "ready"}'
 )
 
@@ -52,7 +52,7 @@
     'content', [b'', b'[]', b'{}', b'\xff', b'{"NodeName": 3}']
 )
 def test_unusable_settings_are_refused(content: bytes) -> None:
-    with pytest.raises(fields.FormatError):
+    with pytest.raises(decoding.FormatError):
         boot.decode(content)
 
 
@@ -67,7 +67,7 @@
     ],
 )
 def test_unusable_configurations_are_refused(content: bytes) -> None:
-    with pytest.raises(fields.FormatError):
+    with pytest.raises(decoding.FormatError):
         configuration.decode(content)
 
 
@@ -82,14 +82,14 @@
     ],
 )
 def test_invalid_registration_is_rejected(content: bytes) -> None:
-    with pytest.raises(fields.FormatError):
+    with pytest.raises(decoding.FormatError):
         registrations.decode('i-1', content)
 
 
 def test_a_rank_is_decoded_from_its_registration() -> None:
     decoded = registrations.decode(
         'i-1',
-        b'{"Service": "s", "Address": "1:1", "Zone": "z", "Slots": 4,'
+        b'{"Service": "s", "Address": "10.0.0.1:1", "Zone": "z", "Slots": 4,'
         b'"State": "ready", "born": 7, "size": 12, "group":'
         b'{"Name": "g", "epoch": 2, "rank": 3, "State": "broken"}}',
     )
