--- a/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_datagrams.py
@@ -14,7 +14,7 @@
 import curio
 
 from camphorstair_core.experts import group_orders
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import datagrams, internal_messages
 from camphorstair_runtime import settings
 
 # Time for the reply to one datagram. An agent waits for its engine for up to
@@ -84,9 +84,7 @@
             sock.bind((self.host, 0))
             self._sock = sock
             while True:
-                content, _sender = await sock.recvfrom(
-                    internal_messages.MAX_DATAGRAM_BYTES
-                )
+                content, _sender = await datagrams.receive(sock)
                 await self._take_reply(content)
 
     async def call_all(self, calls: list[Call], epoch: int) -> Replies:
--- a/packages/agent/src/camphorstair_agent/fleet/ranks.py
+++ b/packages/agent/src/camphorstair_agent/fleet/ranks.py
@@ -15,7 +15,7 @@
 from camphorstair_agent.fleet import engine_calls
 from camphorstair_core import decoding
 from camphorstair_core.experts import count_increases
-from camphorstair_fleet import internal_answers, internal_messages
+from camphorstair_fleet import datagrams, internal_answers, internal_messages
 from camphorstair_platform import engines
 from camphorstair_runtime import http_client, http_messages, http_server
 
@@ -84,9 +84,7 @@
         async with sock:
             sock.bind((host, port))
             while True:
-                content, sender = await sock.recvfrom(
-                    internal_messages.MAX_DATAGRAM_BYTES
-                )
+                content, sender = await datagrams.receive(sock)
                 if self.pending_datagrams >= MAX_PENDING_DATAGRAMS:
                     _LOG.debug('datagram dropped: too many are pending')
                     continue
--- a/packages/agent/src/camphorstair_agent/fleet/slot_granting.py
+++ b/packages/agent/src/camphorstair_agent/fleet/slot_granting.py
@@ -9,7 +9,7 @@
 from camphorstair_agent.fleet import engine_calls, state
 from camphorstair_core import decoding
 from camphorstair_core.fleet import placement, slot_grants
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import datagrams, internal_messages
 from camphorstair_platform import engines
 from camphorstair_runtime import clocks, http_client
 
@@ -21,8 +21,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-Sender = tuple[str, int]
-
 
 @attrs.define(eq=False)
 class SlotGranter:
@@ -41,7 +39,7 @@
         factory=lambda: slot_grants.start(clocks.monotonic_s())
     )
     askers: dict[str, slot_grants.Asker] = attrs.field(factory=dict)
-    senders: dict[str, Sender] = attrs.field(factory=dict)
+    senders: dict[str, datagrams.Sender] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Receive and decide requests until cancelled."""
@@ -62,9 +60,7 @@
 
     async def _receive(self, sock: curio.io.Socket) -> None:
         """Receive one request; a malformed or unexpected one is dropped."""
-        content, sender = await sock.recvfrom(
-            internal_messages.MAX_DATAGRAM_BYTES
-        )
+        content, sender = await datagrams.receive(sock)
         try:
             request = internal_messages.decode(
                 content, internal_messages.SlotRequest
@@ -121,7 +117,7 @@
             return None
 
     async def _reply(
-        self, sock: curio.io.Socket, sender: Sender, number: int
+        self, sock: curio.io.Socket, sender: datagrams.Sender, number: int
     ) -> None:
         grant = internal_messages.SlotGrant(
             number,
--- a/packages/core/src/camphorstair_core/event_stream.py
+++ b/packages/core/src/camphorstair_core/event_stream.py
@@ -6,6 +6,7 @@
 
 _IDENTIFIER = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _BOUNDARIES = (b'\n\n', b'\r\n\r\n')
+_LONGEST_BOUNDARY = 4
 
 
 @attrs.define
@@ -19,7 +20,7 @@
         contain no number.
     """
 
-    pending: bytes = b''
+    pending: bytearray = attrs.field(factory=bytearray)
     first_event: int = 0
     last_event: int = 0
 
@@ -29,17 +30,24 @@
         :param chunk: The received bytes.
         :returns: The complete events; empty if there are none.
         """
-        received = self.pending + chunk
-        end = max(_end_of_last(received, boundary) for boundary in _BOUNDARIES)
-        self.pending = received[end:]
-        events = received[:end]
+        searched = max(0, len(self.pending) - _LONGEST_BOUNDARY + 1)
+        self.pending += chunk
+        end = max(
+            _end_of_last(self.pending, boundary, searched)
+            for boundary in _BOUNDARIES
+        )
+        if not end:
+            self._update_numbers(b'')
+            return b''
+        events = bytes(self.pending[:end])
+        self.pending = self.pending[end:]
         self._update_numbers(events)
         return events
 
     def flush(self) -> bytes:
         """Return and clear the buffered bytes at the end of the stream."""
-        remaining = self.pending
-        self.pending = b''
+        remaining = bytes(self.pending)
+        self.pending.clear()
         self._update_numbers(remaining)
         return remaining
 
@@ -49,7 +57,10 @@
         self.last_event = int(numbers[-1]) if numbers else 0
 
 
-def _end_of_last(received: bytes, boundary: bytes) -> int:
-    """Return the offset after the last boundary; 0 if there is none."""
-    start = received.rfind(boundary)
+def _end_of_last(received: bytearray, boundary: bytes, searched: int) -> int:
+    """Return the offset after the last boundary; 0 if there is none.
+
+    :param searched: Offset before which no boundary begins.
+    """
+    start = received.rfind(boundary, searched)
     return 0 if start < 0 else start + len(boundary)
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -102,6 +102,12 @@
                 repr(unexpected), sent=self.call.sent
             ) from unexpected
 
+    def abort(self) -> None:
+        """Abort the attempt as if the endpoint had closed the connection."""
+        if self.exchange is not None:
+            self.left = True
+            closing.stop_reading(self.exchange.sock)
+
     async def _run(self) -> None:
         """Send the request and relay the answer.
 
@@ -135,12 +141,6 @@
             verdict = verdicts.Verdict.may_have_run
         return attempt_errors.AttemptError(reason, verdict, sent=sent)
 
-    def abort(self) -> None:
-        """Abort the attempt as if the endpoint had closed the connection."""
-        if self.exchange is not None:
-            self.left = True
-            closing.stop_reading(self.exchange.sock)
-
     def _check_wanted(self) -> None:
         """Withdraw the request if it must not be sent any more.
 
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -17,6 +17,7 @@
 
 from camphorstair_core.fleet import held_bytes
 from camphorstair_runtime import (
+    body_bounds,
     closing,
     http_client,
     http_messages,
@@ -236,11 +237,10 @@
 
     async def _read_whole(self, exchange: http_client.Exchange) -> bytes:
         body = bytearray()
-        size_bytes = 0
+        bound = body_bounds.BodyBound(http_client.MAX_BODY_BYTES)
         chunk = await exchange.read()
         while chunk is not None:
-            size_bytes += len(chunk)
-            http_client.check_length(size_bytes)
+            http_client.count_part(bound, chunk)
             body += chunk
             self._whole_bytes += len(chunk)
             await self.answers.hold(self.account, len(chunk))
--- a/packages/entry/src/camphorstair/fleet/sensing.py
+++ b/packages/entry/src/camphorstair/fleet/sensing.py
@@ -8,7 +8,7 @@
 
 from camphorstair.fleet import dispatch, state
 from camphorstair_core.fleet import memory_placement, placement, roster
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import datagrams, internal_messages
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
@@ -32,9 +32,7 @@
         async with sock:
             sock.bind((told.address, told.internal_port))
             while True:
-                content, _sender = await sock.recvfrom(
-                    internal_messages.MAX_DATAGRAM_BYTES
-                )
+                content, _sender = await datagrams.receive(sock)
                 await self._record_report(content)
 
     async def _record_report(self, content: bytes) -> None:
--- a/packages/entry/src/camphorstair/fleet/slot_asking.py
+++ b/packages/entry/src/camphorstair/fleet/slot_asking.py
@@ -10,7 +10,7 @@
 
 from camphorstair.fleet import endpoint_choice, state
 from camphorstair_core.fleet import placement, slot_requests
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import datagrams, internal_messages
 from camphorstair_runtime import clocks, settings
 
 _FIRST_NUMBER_BYTES = 4
@@ -51,9 +51,7 @@
             self._sock = sock
             try:
                 while True:
-                    content, _sender = await sock.recvfrom(
-                        internal_messages.MAX_DATAGRAM_BYTES
-                    )
+                    content, _sender = await datagrams.receive(sock)
                     await self._take_grant(content)
             finally:
                 self._sock = None
--- a/packages/entry/src/camphorstair/fleet/stream_relaying.py
+++ b/packages/entry/src/camphorstair/fleet/stream_relaying.py
@@ -5,7 +5,7 @@
 from camphorstair.fleet import answer_progress, calls
 from camphorstair_core import event_stream
 from camphorstair_platform import headers
-from camphorstair_runtime import clocks, http_client
+from camphorstair_runtime import body_bounds, clocks, http_client
 
 # Longest event of a stream. A faulty endpoint may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -41,15 +41,18 @@
             too long.
         """
         resumed = self.call.responder.started
+        bound = _event_bound()
         chunk = await self._read()
         while chunk is not None:
             events = self.splitter.feed(chunk)
             if events:
+                bound = _event_bound()
                 self.progress.note_events()
                 await self._send_events(
                     self.call.stream.take(events, resumed=resumed)
                 )
-            self._check_event_length()
+            else:
+                http_client.count_part(bound, chunk)
             chunk = await self._read()
 
     async def finish(self) -> None:
@@ -77,13 +80,6 @@
             await self.call.held.wait_room()
         return await self.exchange.read()
 
-    def _check_event_length(self) -> None:
-        if len(self.splitter.pending) > MAX_EVENT_BYTES:
-            raise http_client.HttpError(
-                f'an event is longer than {MAX_EVENT_BYTES} bytes',
-                sent=True,
-            )
-
     async def _send_events(self, events: bytes) -> None:
         """Send events to the caller, after the head if it was not sent."""
         if not events:
@@ -100,3 +96,8 @@
             await self.call.responder.start(
                 self.exchange.status, response_headers
             )
+
+
+def _event_bound() -> body_bounds.BodyBound:
+    """Return the bound of the event that comes next."""
+    return body_bounds.BodyBound(MAX_EVENT_BYTES)
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -15,8 +15,6 @@
 EXPERTS_PATH = '/experts'
 RELAY_PATH = '/relay'
 COPY_PATH = '/copy'
-# Longest datagram that is read whole.
-MAX_DATAGRAM_BYTES = 2048
 # Port on which agents receive ``SlotRequest``, counted from the first internal
 # port, which the planners' calls use.
 SLOT_PORT_OFFSET = 1
--- a/packages/runtime/src/camphorstair_runtime/closing.py
+++ b/packages/runtime/src/camphorstair_runtime/closing.py
@@ -5,6 +5,8 @@
 
 import curio
 
+from camphorstair_runtime import fairness
+
 LINGER_S = 0.3
 _READ_BYTES = 65536
 
@@ -37,5 +39,5 @@
         await sock.shutdown(socket.SHUT_WR)
         await curio.sleep(LINGER_S)
         async with curio.ignore_after(LINGER_S):
-            while await sock.recv(_READ_BYTES):
-                await curio.sleep(0)
+            while chunk := await sock.recv(_READ_BYTES):
+                await fairness.count_event(len(chunk))
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorstair_runtime import (
+    body_bounds,
     http_messages,
     request_reading,
     settings,
@@ -21,6 +22,8 @@
 # Longest body that is kept in memory. A faulty server may send bytes without
 # end.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# 1xx responses that are skipped before the response.
+MAX_INTERIM_RESPONSES = 32
 _BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
@@ -88,13 +91,14 @@
         """Return the rest of the response body.
 
         :raises HttpError: if the body is truncated or possibly truncated, or
-            longer than ``MAX_BODY_BYTES``.
+            too large to be kept in memory.
         """
         body = bytearray()
+        bound = body_bounds.BodyBound(MAX_BODY_BYTES)
         chunk = await self.read()
         while chunk is not None:
             body.extend(chunk)
-            check_length(len(body))
+            count_part(bound, chunk)
             chunk = await self.read()
         return bytes(body)
 
@@ -124,15 +128,15 @@
             raise HttpError('the answer does not tell its length', sent=True)
 
 
-def check_length(size_bytes: int) -> None:
-    """Reject a body that is too long to be kept in memory.
+def count_part(bound: body_bounds.BodyBound, chunk: bytes) -> None:
+    """Count a part of a response body that is kept in memory.
 
-    :raises HttpError: if it is longer than ``MAX_BODY_BYTES``.
+    :raises HttpError: if the body is too large with it.
     """
-    if size_bytes > MAX_BODY_BYTES:
-        raise HttpError(
-            f'the body is longer than {MAX_BODY_BYTES} bytes', sent=True
-        )
+    try:
+        bound.count(len(chunk))
+    except body_bounds.BodyTooLargeError as error:
+        raise HttpError(str(error), sent=True) from error
 
 
 async def open_exchange(
@@ -332,11 +336,10 @@
     :param exchange: The exchange that sent the request.
     :param request: The request; the response to HEAD has no body.
     :raises HttpError: if the connection ends or fails before the response head
-        is read, or if the response violates the protocol.
+        is read, if the response violates the protocol, or if there are more
+        than ``MAX_INTERIM_RESPONSES``.
     """
-    event = await exchange.event()
-    while isinstance(event, h11.InformationalResponse):
-        event = await exchange.event()
+    event = await _first_final(exchange)
     if not isinstance(event, h11.Response):
         raise HttpError('the connection ended without a response', sent=True)
     exchange.status = event.status_code
@@ -349,3 +352,21 @@
         event.status_code in _BODILESS_STATUSES or request.method == 'HEAD'
     )
     exchange.framed = bodiless or bool(names & _FRAMING_HEADERS)
+
+
+async def _first_final(exchange: Exchange) -> object:
+    """Return the first event that is not a 1xx response.
+
+    :raises HttpError: if the connection fails or there are too many of these.
+    """
+    event = await exchange.event()
+    skipped = 0
+    while isinstance(event, h11.InformationalResponse):
+        skipped += 1
+        if skipped > MAX_INTERIM_RESPONSES:
+            raise HttpError(
+                f'more than {MAX_INTERIM_RESPONSES} interim responses',
+                sent=True,
+            )
+        event = await exchange.event()
+    return event
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -11,7 +11,12 @@
 
 from camphorstair_core import caller_limits, errors
 from camphorstair_runtime import closing as connection_closing
-from camphorstair_runtime import http_messages, request_reading, sockets
+from camphorstair_runtime import (
+    fairness,
+    http_messages,
+    request_reading,
+    sockets,
+)
 
 MAX_PIPELINED_BYTES = 65536
 DRAIN_LIMIT_S = 2.0
@@ -99,6 +104,7 @@
             if not chunk:
                 return
             buffered_bytes += len(chunk)
+            await fairness.count_event(len(chunk))
         await curio.Event().wait()
 
     async def _send(self, event: h11.Event) -> None:
@@ -277,4 +283,5 @@
     async with curio.ignore_after(DRAIN_LIMIT_S):
         chunk = await sock.recv(request_reading.READ_BYTES)
         while chunk:
+            await fairness.count_event(len(chunk))
             chunk = await sock.recv(request_reading.READ_BYTES)
--- a/packages/runtime/src/camphorstair_runtime/links.py
+++ b/packages/runtime/src/camphorstair_runtime/links.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from camphorstair_core import decoding, messages
-from camphorstair_runtime import sockets, traffic
+from camphorstair_runtime import fairness, sockets, traffic
 
 MAX_MESSAGE_BYTES = 16777216
 
@@ -142,9 +142,11 @@
             if not chunk:
                 return
             self.received.extend(chunk)
+            await fairness.count_event(len(chunk))
         await curio.Event().wait()
 
     async def _receive(self) -> object:
+        await fairness.count_event()
         await self._fill_buffer(_FRAME_HEADER.size)
         length, number = _FRAME_HEADER.unpack_from(self.received)
         if length > MAX_MESSAGE_BYTES:
@@ -163,6 +165,7 @@
             if not chunk:
                 raise LinkError('the other side closed the link')
             self.received.extend(chunk)
+            await fairness.count_event(len(chunk))
 
 
 async def connect(
--- a/packages/runtime/src/camphorstair_runtime/listening.py
+++ b/packages/runtime/src/camphorstair_runtime/listening.py
@@ -5,6 +5,8 @@
 
 import curio
 
+from camphorstair_runtime import fairness
+
 BACKLOG = 128
 
 Serve = abc.Callable[[curio.io.Socket, object], abc.Awaitable[None]]
@@ -38,6 +40,7 @@
     async with curio.tcp_server_socket(host, port, backlog=BACKLOG) as listener:
         try:
             while True:
+                await fairness.count_event()
                 client, address = await listener.accept()
                 task = await curio.spawn(
                     serve_client, client, address, daemon=True
--- a/packages/runtime/src/camphorstair_runtime/request_reading.py
+++ b/packages/runtime/src/camphorstair_runtime/request_reading.py
@@ -8,7 +8,7 @@
 import h11
 
 from camphorstair_core import caller_limits, errors
-from camphorstair_runtime import http_messages
+from camphorstair_runtime import body_bounds, fairness, http_messages
 
 READ_BYTES = 65536
 
@@ -21,12 +21,18 @@
     sock: curio.io.Socket,
     protocol: h11.Connection,
 ) -> object:
-    """Return the next h11 event, receiving data as needed."""
+    """Return the next h11 event, receiving data as needed.
+
+    Other tasks run in between, however fast the peer sends.
+    """
+    await fairness.count_event()
     while True:
         event = protocol.next_event()
         if event is not h11.NEED_DATA:
             return event
-        protocol.receive_data(await sock.recv(READ_BYTES))
+        chunk = await sock.recv(READ_BYTES)
+        protocol.receive_data(chunk)
+        await fairness.count_event(len(chunk))
 
 
 async def read(
@@ -120,12 +126,14 @@
     limit_bytes: int,
 ) -> bytes:
     body = bytearray()
+    bound = body_bounds.BodyBound(limit_bytes)
     event = await next_event(sock, protocol)
     while isinstance(event, h11.Data):
         body.extend(event.data)
-        if len(body) > limit_bytes:
-            message = f'the body is longer than {limit_bytes} bytes'
-            raise errors.RequestError(errors.too_large, message)
+        try:
+            bound.count(len(event.data))
+        except body_bounds.BodyTooLargeError as error:
+            raise errors.RequestError(errors.too_large, str(error)) from error
         event = await next_event(sock, protocol)
     if not isinstance(event, h11.EndOfMessage):
         raise IncompleteError('the connection ended within a request body')
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -8,7 +8,7 @@
 
 from camphorstair_agent.fleet import engine_calls, rank_datagrams, ranks
 from camphorstair_core.experts import group_orders
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import datagrams, internal_messages
 from camphorstair_runtime import (
     http_client,
     http_messages,
@@ -125,7 +125,7 @@
     content = internal_messages.encode(call)
     await sock.sendto(content, settings.split_address(agent))
     async with curio.timeout_after(REPLY_LIMIT_S):
-        await sock.recvfrom(internal_messages.MAX_DATAGRAM_BYTES)
+        await sock.recvfrom(datagrams.MAX_DATAGRAM_BYTES)
 
 
 def test_hung_order_is_reported_before_planner_timeout() -> None:
