--- a/packages/core/src/camphorstair_core/decoding.py
+++ b/packages/core/src/camphorstair_core/decoding.py
@@ -16,11 +16,17 @@
 # Longest text of a whole number that surely is no more than ``MAX_NUMBER``.
 MAX_DIGITS = 18
 MAX_PORT = 65535
+# Longest names in messages, and most in one list.
+MAX_NAME_CHARACTERS = 256
+MAX_NAMES = 4096
 _MAX_SHOWN_CHARACTERS = 80
 
 # Types of fields in messages; neither accepts NaN.
 Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Duration = typing.Annotated[float, msgspec.Meta(ge=0)]
+# Names that processes tell each other, and lists of them.
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Names = typing.Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_NAMES)]
 
 Kind = typing.TypeVar('Kind')
 
--- a/packages/core/src/camphorstair_core/fleet/crash_reports.py
+++ b/packages/core/src/camphorstair_core/fleet/crash_reports.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from camphorstair_core import decoding
+
 # Reports older than this no longer count.
 REPORT_LIFE_S = 300.0
 MAX_CRASHES = 256
@@ -36,10 +38,10 @@
         suspects of an earlier crash.
     """
 
-    crash: str
-    suspects: tuple[str, ...] = ()
-    cleared: tuple[str, ...] = ()
-    repeated: tuple[str, ...] = ()
+    crash: decoding.Name
+    suspects: decoding.Names = ()
+    cleared: decoding.Names = ()
+    repeated: decoding.Names = ()
 
 
 @attrs.define
--- a/packages/core/src/camphorstair_core/fleet/store_copy.py
+++ b/packages/core/src/camphorstair_core/fleet/store_copy.py
@@ -12,7 +12,6 @@
 taken out.
 """
 
-import collections as containers
 from collections import abc
 
 import attrs
@@ -24,8 +23,11 @@
 RESTORED_LIMIT_S = 6.0
 # How long a removal is remembered: longer than a copy of the store is old.
 REMOVAL_MEMORY_S = 60.0
-# Changes that are kept for processes that follow this copy.
+# Keys whose latest change is kept for processes that follow this copy. The
+# values are those of the copy itself, so they take no more memory.
 MAX_CHANGES = 2000
+# Most bytes that all values in a copy may have.
+MAX_KEPT_BYTES = 33_554_432
 
 
 @attrs.frozen
@@ -87,9 +89,11 @@
         first update, and when all keys must be read again.
     :ivar rows: The keys that exist in the store.
     :ivar removed_s: When each key that was removed recently was removed.
-    :ivar changes: The latest changes, oldest first.
-    :ivar complete_after: Revision after which ``changes`` lacks none.
+    :ivar changes: The latest change of each key that changed recently, the
+        oldest change first.
+    :ivar complete_after: Revision after which ``changes`` lacks no key.
     :ivar deferred: Changes that wait for their owners, by key.
+    :ivar kept_bytes: Size of all values in ``rows``.
     """
 
     at_once: abc.Callable[[Item | None, Item], bool]
@@ -98,11 +102,10 @@
     revision: int | None = None
     rows: dict[str, Item] = attrs.field(factory=dict)
     removed_s: dict[str, float] = attrs.field(factory=dict)
-    changes: containers.deque[Item] = attrs.field(
-        factory=lambda: containers.deque(maxlen=MAX_CHANGES)
-    )
+    changes: dict[str, Item] = attrs.field(factory=dict)
     complete_after: int = 0
     deferred: dict[str, _Deferred] = attrs.field(factory=dict)
+    kept_bytes: int = 0
 
 
 def take(store_copy: StoreCopy, update: Update, now_s: float) -> list[Item]:
@@ -126,7 +129,8 @@
     rows = list(update.rows)
     if update.whole:
         rows.extend(_missing(store_copy, update))
-    changed = [row for row in rows if _record(store_copy, row, now_s)]
+    recorded = (_record(store_copy, row, now_s) for row in rows)
+    changed = [row for row in recorded if row is not None]
     if store_copy.revision is None and update.whole:
         store_copy.complete_after = update.revision
     store_copy.revision = update.revision
@@ -153,6 +157,21 @@
     store_copy.changes.clear()
 
 
+def drop_value(store_copy: StoreCopy, key: str) -> None:
+    """Keep a key without its value, which this process can't use.
+
+    Processes that follow this copy get an empty value, which is unusable too.
+    """
+    row = store_copy.rows.get(key)
+    if row is None or not row.content:
+        return
+    store_copy.kept_bytes -= len(row.content)
+    without = attrs.evolve(row, content=b'')
+    store_copy.rows[key] = without
+    if store_copy.changes.get(key) is row:
+        store_copy.changes[key] = without
+
+
 def updates_since(
     store_copy: StoreCopy, era: int, revision: int, prefixes: tuple[str, ...]
 ) -> Update | None:
@@ -170,7 +189,8 @@
     known = era == store_copy.era and revision >= store_copy.complete_after
     rows: abc.Iterable[Item] = store_copy.rows.values()
     if known and revision:
-        rows = (row for row in store_copy.changes if row.revision > revision)
+        changes = store_copy.changes.values()
+        rows = (row for row in changes if row.revision > revision)
     return Update(
         store_copy.era,
         store_copy.revision,
@@ -189,13 +209,16 @@
         return []
     known = store_copy.rows
     store_copy.rows_era = update.era
-    listed = {row.key: row for row in update.rows}
-    store_copy.rows = listed
+    store_copy.rows = {}
+    store_copy.kept_bytes = 0
+    for listed_row in update.rows:
+        _keep(store_copy, listed_row)
+    listed = store_copy.rows
     store_copy.revision = update.revision
     store_copy.complete_after = update.revision
     changed = [
         row
-        for row in update.rows
+        for row in listed.values()
         if row.key not in known or known[row.key].content != row.content
     ]
     missing = [
@@ -234,32 +257,57 @@
     ]
 
 
-def _record(store_copy: StoreCopy, row: Item, now_s: float) -> bool:
+def _record(store_copy: StoreCopy, row: Item, now_s: float) -> Item | None:
     """Record a change unless it or a later one of the key was recorded.
 
-    :returns: Whether it was recorded.
+    :returns: The change as it is kept; None if it was not recorded.
     """
     before = store_copy.rows.get(row.key)
     if before is not None and row.revision <= before.revision:
-        return False
+        return None
     if row.content is None:
-        if store_copy.rows.pop(row.key, None) is None:
-            return False
+        if before is None:
+            return None
+        _forget(store_copy, row.key)
         _note_removal(store_copy, row.key, now_s)
     else:
-        store_copy.rows[row.key] = row
+        row = _keep(store_copy, row)
         store_copy.removed_s.pop(row.key, None)
-    if len(store_copy.changes) == MAX_CHANGES:
-        store_copy.complete_after = store_copy.changes[0].revision
-    store_copy.changes.append(row)
-    return True
+    store_copy.changes.pop(row.key, None)
+    store_copy.changes[row.key] = row
+    if len(store_copy.changes) > MAX_CHANGES:
+        oldest = store_copy.changes.pop(next(iter(store_copy.changes)))
+        store_copy.complete_after = oldest.revision
+    return row
+
+
+def _keep(store_copy: StoreCopy, row: Item) -> Item:
+    """Keep a key with its value, or without it if all are too much.
+
+    :returns: The key as it is kept.
+    """
+    _forget(store_copy, row.key)
+    size_bytes = len(row.content or b'')
+    if store_copy.kept_bytes + size_bytes > MAX_KEPT_BYTES:
+        row = attrs.evolve(row, content=b'')
+        size_bytes = 0
+    store_copy.kept_bytes += size_bytes
+    store_copy.rows[row.key] = row
+    return row
+
+
+def _forget(store_copy: StoreCopy, key: str) -> None:
+    row = store_copy.rows.pop(key, None)
+    if row is not None:
+        store_copy.kept_bytes -= len(row.content or b'')
 
 
 def _note_removal(store_copy: StoreCopy, key: str, now_s: float) -> None:
     """Remember a removal and forget those of long ago."""
-    store_copy.removed_s[key] = now_s
-    store_copy.removed_s = {
-        removed: since_s
-        for removed, since_s in store_copy.removed_s.items()
-        if now_s - since_s < REMOVAL_MEMORY_S
-    }
+    removed_s = store_copy.removed_s
+    removed_s.pop(key, None)
+    removed_s[key] = now_s
+    oldest = next(iter(removed_s))
+    while now_s - removed_s[oldest] >= REMOVAL_MEMORY_S:
+        removed_s.pop(oldest)
+        oldest = next(iter(removed_s))
--- a/packages/core/src/camphorstair_core/fleet/windows.py
+++ b/packages/core/src/camphorstair_core/fleet/windows.py
@@ -61,8 +61,9 @@
         return len(self.times_s)
 
     def add(self, now_s: float) -> None:
-        """Record an event."""
+        """Record an event and forget those before the window."""
         self.times_s.append(now_s)
+        self.count(now_s)
 
 
 def cold_limit(
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -147,6 +147,7 @@
             self.apply(row)
         except decoding.FormatError as error:
             _LOG.warning('unusable value of %s: %s', row.key, error)
+            store_copy.drop_value(self.known, row.key)
         except Exception:  # noqa: BLE001, the reason is in the docstring
             _LOG.exception('change of %s not applied', row.key)
 
--- a/packages/fleet/src/camphorstair_fleet/sources.py
+++ b/packages/fleet/src/camphorstair_fleet/sources.py
@@ -7,6 +7,7 @@
 """
 
 import http
+import logging
 from collections import abc
 
 import attrs
@@ -14,7 +15,7 @@
 
 from camphorstair_core.fleet import store_copy
 from camphorstair_fleet import internal_messages
-from camphorstair_platform import store, store_errors
+from camphorstair_platform import configuration, store, store_errors
 from camphorstair_runtime import (
     clocks,
     http_client,
@@ -34,10 +35,15 @@
 # Time for the reply of an entry, which replies once per round of its own.
 PEER_SLACK_S = 0.3
 PEER_LIMIT_S = WATCH_WAIT_S + PEER_SLACK_S
+# Longest value that is kept; only a configuration is longer.
+MAX_VALUE_BYTES = 262_144
 # Interval between reads of all keys from the store without a watch.
 POLL_INTERVAL_S = 2.0
 
 
+_LOG = logging.getLogger(__name__)
+
+
 class PeerError(Exception):
     """Raised when an entry does not tell what it knows of the store."""
 
@@ -93,7 +99,9 @@
             # to the end of the wait, less the time it may withhold changes.
             sent_s += max(0, wait_s - WATCH_DELAY_LIMIT_S)
         rows = tuple(
-            row for row in changes.rows if row.key.startswith(prefixes)
+            _bounded(row)
+            for row in changes.rows
+            if row.key.startswith(prefixes)
         )
         update = store_copy.Update(
             changes.era, changes.revision, rows, whole=False
@@ -190,6 +198,18 @@
     return store_copy.Update(
         eras.pop(),
         min(listing.revision for listing in listings),
-        tuple(row for listing in listings for row in listing.rows),
+        tuple(_bounded(row) for listing in listings for row in listing.rows),
         whole=True,
     )
+
+
+def _bounded(row: store_copy.Item) -> store_copy.Item:
+    """Return a key without its value if that is too long to be of use."""
+    size_bytes = len(row.content or b'')
+    if (
+        size_bytes <= MAX_VALUE_BYTES
+        or row.key == configuration.CONFIGURATION_KEY
+    ):
+        return row
+    _LOG.warning('value of %s left out: %d bytes', row.key, size_bytes)
+    return attrs.evolve(row, content=b'')
