Take an answer for this attempt's only if that is known

Callers were told "not run, try again" (503, 429) by an endpoint's earlier refusal, written once more on a kept connection, while the endpoint ran their request; a failure of another request was passed on in the same way.

Cause: an answer that names no attempt counted as that of the current one, also where other answers had come on the connection before. Only the name of the attempt tells a late answer from the due one.

Fix: such an answer counts only as the first of its connection; later it is a failed attempt that may have run. Calls to the store, to engines and to peers, whose answers name nothing, use a connection again only if nothing came unasked.

Refusals that name another attempt were skipped already.

--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -206,7 +206,7 @@
             answer = headers.decode_answer(exchange.status, exchange.headers)
             self._record_load(answer)
             answer_reports.record_terms(self.candidate, answer)
-            if answer.attempt in {'', call.caller_headers.attempt}:
+            if self._is_own(exchange, answer):
                 self.answered = True
                 return answer
             await http_client.skip_response(exchange, host, forwarded)
@@ -214,6 +214,21 @@
             'the answers belong to other requests', sent=True
         )
 
+    def _is_own(
+        self, exchange: http_client.Exchange, answer: headers.AnswerHeaders
+    ) -> bool:
+        """Return whether an answer is that of this attempt.
+
+        :raises http_client.HttpError: if that can't be known: it names no
+            attempt, and came after other answers on the connection.
+        """
+        if answer.attempt or exchange.responses == 1:
+            return answer.attempt in {'', self.call.caller_headers.attempt}
+        raise http_client.HttpError(
+            f'status {answer.status} on a kept connection names no attempt',
+            sent=True,
+        )
+
     def _engine_priority(self) -> int | None:
         """Return the request's priority at its engine; None to send none."""
         if not self.entry.is_ranked(self.call.service):
--- a/packages/entry/src/camphorstair/fleet/connections.py
+++ b/packages/entry/src/camphorstair/fleet/connections.py
@@ -1,7 +1,5 @@
 """A pool of idle connections to endpoints."""
 
-import select
-
 import attrs
 
 from camphorstair_runtime import http_client, sockets
@@ -47,12 +45,11 @@
         idle = self.idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if now_s < connection.deadline_s and _has_no_input(
-                connection.exchange
-            ):
-                connection.exchange.protocol.start_next_cycle()
-                return connection.exchange
-            await connection.exchange.close()
+            exchange = connection.exchange
+            if now_s < connection.deadline_s and not exchange.has_input():
+                exchange.protocol.start_next_cycle()
+                return exchange
+            await exchange.close()
         return None
 
     async def keep(
@@ -109,10 +106,3 @@
     sockets.enable_keepalive(exchange.sock)
     exchange.allow_eof_body = True
     return exchange
-
-
-def _has_no_input(exchange: http_client.Exchange) -> bool:
-    """Return whether no bytes and no end of stream are pending."""
-    poll = select.poll()
-    poll.register(exchange.sock.fileno(), select.POLLIN)
-    return not poll.poll(0)
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client on h11 and curio."""
 
 import http
+import select
 import typing
 from collections import abc
 
@@ -53,6 +54,7 @@
     :ivar framed: Whether the end of the response is known without the end of
         the connection: it has no body, or its head has a content-length or
         transfer-encoding header.
+    :ivar responses: Number of response heads read on the connection.
     :ivar allow_eof_body: Whether closing the connection is accepted as the
         end of a body that is not framed.
     """
@@ -62,6 +64,7 @@
     status: int = 0
     headers: http_messages.HeaderList = attrs.field(factory=list)
     framed: bool = True
+    responses: int = 0
     allow_eof_body: bool = False
 
     def reusable(self) -> bool:
@@ -74,6 +77,15 @@
             h11.DONE,
         )
 
+    def has_input(self) -> bool:
+        """Return whether bytes or the end of the connection are pending.
+
+        On an idle connection nothing is due, so they belong to no request.
+        """
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def read(self) -> bytes | None:
         """Return the next part of the response body, or None at its end.
 
@@ -342,6 +354,7 @@
     event = await _first_final(exchange)
     if not isinstance(event, h11.Response):
         raise HttpError('the connection ended without a response', sent=True)
+    exchange.responses += 1
     exchange.status = event.status_code
     exchange.headers = [
         (name.decode('latin-1'), value.decode('latin-1'))
--- a/packages/runtime/src/camphorstair_runtime/persistent_connection.py
+++ b/packages/runtime/src/camphorstair_runtime/persistent_connection.py
@@ -58,6 +58,9 @@
         self,
         request: http_messages.Request,
     ) -> http_messages.Response:
+        if self._exchange is not None and self._exchange.has_input():
+            # What came unasked must not be taken for the next response.
+            await self.close()
         if self._exchange is None:
             self._exchange = await http_client.open_exchange(
                 self.address, request, limit_s=self.connect_limit_s
