Let a stream go on only with what follows it, or break visibly

A caller of HTTP/1.0, which knows the end of a stream by that of the connection, took a broken one for complete. An answer with an error status was never passed on within a stream.

Cause: a resumed stream was checked for the seal and a 2xx status only, and an unfinished answer was closed like a finished one.

Fix: the answer that resumes a stream has the status and media type of the one that began it; its events have numbers, and follow without a gap if those before did. Anything else is a failed attempt, and the stream is cut without its end. Connections with an unfinished answer to HTTP/1.0 are reset.

--- a/packages/core/src/camphorstair_core/fleet/stream_progress.py
+++ b/packages/core/src/camphorstair_core/fleet/stream_progress.py
@@ -8,13 +8,16 @@
 
 import attrs
 
-from camphorstair_core import event_stream
-
 _IDENTIFIER = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _NUMBER = re.compile(r'[0-9]{1,18}')
+_DATA_LINE = re.compile(rb'^data', re.MULTILINE)
 _EVENT = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
 
 
+class StreamError(Exception):
+    """A resumed stream does not go on with what its caller has."""
+
+
 @attrs.define
 class StreamProgress:
     """The part of a stream that a caller has received.
@@ -23,11 +26,13 @@
         it; empty if there is none.
     :ivar numbered: Whether all forwarded events had identifiers.
     :ivar events: Number of forwarded events.
+    :ivar consecutive: Whether the numbers of all of them were consecutive.
     """
 
     last_event: str
     numbered: bool = True
     events: int = 0
+    consecutive: bool = True
 
     def take(self, events: bytes, *, resumed: bool) -> bytes:
         """Return the events that the caller lacks and record them as forwarded.
@@ -35,6 +40,8 @@
         :param events: Whole events as an endpoint sent them.
         :param resumed: Whether the caller has events of an earlier attempt;
             otherwise all events are returned.
+        :raises StreamError: if events without a number resume a numbered
+            stream, or an event is missing.
         """
         if not resumed:
             self._record(events)
@@ -42,10 +49,28 @@
         missing = [
             event for event in _EVENT.findall(events) if self._is_missing(event)
         ]
+        if self.events:
+            self._check_continued(missing)
         joined = b''.join(missing)
         self._record(joined)
         return joined
 
+    def _check_continued(self, missing: list[bytes]) -> None:
+        """Check that events follow those that the caller has.
+
+        :raises StreamError: if they don't.
+        """
+        for event in missing:
+            identifier = _IDENTIFIER.search(event)
+            if identifier is None and _DATA_LINE.search(event):
+                raise StreamError(
+                    f'an event after {self.last_event} is unnumbered'
+                )
+        numbers = _IDENTIFIER.findall(b''.join(missing))
+        is_known = self.consecutive and self.events > 1
+        if is_known and numbers and int(numbers[0]) != int(self.last_event) + 1:
+            raise StreamError(f'no event follows {self.last_event}')
+
     def _is_missing(self, event: bytes) -> bool:
         identifier = _IDENTIFIER.search(event)
         if identifier is None or not _NUMBER.fullmatch(self.last_event):
@@ -60,9 +85,13 @@
         self.events += count
         self.numbered = self.numbered and len(identifiers) == count
         if identifiers:
+            self._check_numbers([int(number) for number in identifiers])
             self.last_event = identifiers[-1].decode()
 
-
-def splitter() -> event_stream.EventSplitter:
-    """Return a splitter of one attempt's bytes into whole events."""
-    return event_stream.EventSplitter()
+    def _check_numbers(self, numbers: list[int]) -> None:
+        """Note whether event numbers follow each other without a gap."""
+        first = numbers[0]
+        if self.events > len(numbers):
+            first = int(self.last_event) + 1
+        expected = list(range(first, first + len(numbers)))
+        self.consecutive = self.consecutive and numbers == expected
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -298,6 +298,7 @@
             attempt was aborted.
         """
         relay = stream_relaying.StreamRelay(self.call, exchange, self.progress)
+        relay.check_head()
         try:
             await relay.run()
         finally:
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -34,6 +34,8 @@
     :ivar deadline_s: Time by which the answer must be complete.
     :ivar waiter: Its entry in the service's queue.
     :ivar stream: The events that were sent to the caller so far.
+    :ivar stream_kind: Status and media type of the stream that the caller has
+        begun to receive; empty before.
     :ivar work: Its estimated work; unknown if its service is not ranked.
     :ivar held: What is held for slow peers; None if it is not bounded.
     :ivar attempts: Number of finished attempts that sent the request.
@@ -56,6 +58,7 @@
     waiter: waiting.Waiter
     stream: stream_progress.StreamProgress
     work: work_estimates.Work
+    stream_kind: str = ''
     held: holding.Holding | None = None
     attempts: int = 0
     sent: bool = False
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -9,8 +9,6 @@
 import functools
 import logging
 import os
-import socket
-import struct
 
 import attrs
 import curio
@@ -27,9 +25,6 @@
 
 # Most bytes that are passed to one write of held bytes.
 WRITE_BYTES = 65536
-# Closing a socket with this option resets its connection. Unlike a regular
-# close, it never looks like the end of an answer without a length.
-_RESET = struct.pack('ii', 1, 0)
 
 _LOG = logging.getLogger(__name__)
 
@@ -177,9 +172,7 @@
         connection is reset after the endpoint's answer was read to its end.
         """
         self._unsent.clear()
-        self.responder.sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET
-        )
+        closing.reset_on_close(self.responder.sock)
         if not self.reads_on():
             self.failure = ConnectionAbortedError('the answer was ended')
             # Wakes the task that waits for the caller to disconnect, which
--- a/packages/entry/src/camphorstair/fleet/stream_relaying.py
+++ b/packages/entry/src/camphorstair/fleet/stream_relaying.py
@@ -4,8 +4,14 @@
 
 from camphorstair.fleet import answer_progress, calls
 from camphorstair_core import event_stream
+from camphorstair_core.fleet import stream_progress
 from camphorstair_platform import headers
-from camphorstair_runtime import body_bounds, clocks, http_client
+from camphorstair_runtime import (
+    body_bounds,
+    clocks,
+    http_client,
+    http_messages,
+)
 
 # Longest event of a stream. A faulty endpoint may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -32,6 +38,17 @@
         factory=event_stream.EventSplitter
     )
 
+    def check_head(self) -> None:
+        """Check that an answer that resumes a stream is of the same kind.
+
+        :raises http_client.HttpError: if it has another status or type.
+        """
+        kind = _answer_kind(self.exchange)
+        if self.call.responder.started and kind != self.call.stream_kind:
+            raise http_client.HttpError(
+                f'{kind} does not go on with {self.call.stream_kind}', sent=True
+            )
+
     async def run(self) -> None:
         """Relay events until the endpoint ends the stream.
 
@@ -48,9 +65,7 @@
             if events:
                 bound = _event_bound()
                 self.progress.note_events()
-                await self._send_events(
-                    self.call.stream.take(events, resumed=resumed)
-                )
+                await self._send_events(self._take(events, resumed=resumed))
             else:
                 http_client.count_part(bound, chunk)
             chunk = await self._read()
@@ -74,6 +89,17 @@
         await self._start()
         await self.call.responder.finish()
 
+    def _take(self, events: bytes, *, resumed: bool) -> bytes:
+        """Return the events that the caller lacks.
+
+        :raises http_client.HttpError: if the stream does not go on with those
+            that the caller has.
+        """
+        try:
+            return self.call.stream.take(events, resumed=resumed)
+        except stream_progress.StreamError as error:
+            raise http_client.HttpError(str(error), sent=True) from error
+
     async def _read(self) -> bytes | None:
         """Read on, after the caller has left room if that is bounded."""
         if self.call.held is not None:
@@ -92,6 +118,7 @@
     async def _start(self) -> None:
         """Send the head of the answer, unless it was sent."""
         if not self.call.responder.started:
+            self.call.stream_kind = _answer_kind(self.exchange)
             response_headers = headers.for_caller(self.exchange.headers)
             await self.call.responder.start(
                 self.exchange.status, response_headers
@@ -101,3 +128,10 @@
 def _event_bound() -> body_bounds.BodyBound:
     """Return the bound of the event that comes next."""
     return body_bounds.BodyBound(MAX_EVENT_BYTES)
+
+
+def _answer_kind(exchange: http_client.Exchange) -> str:
+    """Return the status and the media type of an answer."""
+    content_type = http_messages.header(exchange.headers, 'content-type')
+    media_type = content_type.partition(';')[0].strip().lower()
+    return f'{exchange.status} {media_type}'
--- a/packages/runtime/src/camphorstair_runtime/closing.py
+++ b/packages/runtime/src/camphorstair_runtime/closing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 
 import curio
 
@@ -9,6 +10,8 @@
 
 LINGER_S = 0.3
 _READ_BYTES = 65536
+# Linger option: on, for no time.
+_RESET = struct.pack('ii', 1, 0)
 
 
 def stop_reading(sock: curio.io.Socket) -> None:
@@ -24,6 +27,16 @@
         duplicate.shutdown(socket.SHUT_RD)
 
 
+def reset_on_close(sock: curio.io.Socket) -> None:
+    """Let the closing of a socket reset its connection.
+
+    Unlike a regular close, it never looks like the end of a response without a
+    length.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
 async def linger(sock: curio.io.Socket) -> None:
     """Shut down the sending side and discard input for a short time.
 
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -20,6 +20,7 @@
 
 MAX_PIPELINED_BYTES = 65536
 DRAIN_LIMIT_S = 2.0
+_OLD_VERSION = b'1.0'
 
 _LOG = logging.getLogger(__name__)
 
@@ -158,8 +159,7 @@
         )
         self.connections += 1
         try:
-            async with sock:
-                await self._serve_connection(sock, protocol)
+            await self._serve_and_close(sock, protocol)
         except (OSError, Disconnected, request_reading.IncompleteError):
             _LOG.debug('connection ended')
         finally:
@@ -184,6 +184,17 @@
         for sock in self.idle:
             connection_closing.stop_reading(sock)
 
+    async def _serve_and_close(
+        self,
+        sock: curio.io.Socket,
+        protocol: h11.Connection,
+    ) -> None:
+        async with sock:
+            try:
+                await self._serve_connection(sock, protocol)
+            finally:
+                _break_visibly(sock, protocol)
+
     async def _serve_connection(
         self,
         sock: curio.io.Socket,
@@ -270,6 +281,16 @@
     return (protocol.our_state, protocol.their_state) == (h11.DONE, h11.DONE)
 
 
+def _break_visibly(sock: curio.io.Socket, protocol: h11.Connection) -> None:
+    """Let an unfinished response not look complete as its connection ends.
+
+    For a caller of HTTP/1.0, the end of the connection is that of the response.
+    """
+    unfinished = protocol.our_state in {h11.SEND_BODY, h11.ERROR}
+    if unfinished and protocol.their_http_version == _OLD_VERSION:
+        connection_closing.reset_on_close(sock)
+
+
 async def _discard_input(sock: curio.io.Socket) -> None:
     """Shut down the sending side and discard input until EOF or a timeout.
 
