--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -309,12 +309,16 @@
     :param host: Value of the host header.
     :param request: The request.
     :param write: Writes in place of the socket and raises ``OSError`` like it.
-    :raises HttpError: if sending fails; part or all of the request may have
-        reached the server.
+    :raises HttpError: if the request can't be sent as it is, or sending fails;
+        then part or all of it may have reached the server.
     """
     write = write or exchange.sock.sendall
     try:
-        await write(_encode_request(exchange, host, request))
+        content = _encode_request(exchange, host, request)
+    except (h11.LocalProtocolError, UnicodeError) as fault:
+        raise HttpError(f'request to {host}: {fault}', sent=False) from fault
+    try:
+        await write(content)
     except OSError as error:
         raise HttpError(f'send to {host}: {error}', sent=True) from error
 
@@ -332,7 +336,7 @@
     head = h11.Request(
         method=request.method,
         target=request.target,
-        headers=headers,
+        headers=http_messages.encoded(headers),
     )
     protocol = exchange.protocol
     parts = (head, h11.Data(data=request.body), h11.EndOfMessage())
--- a/packages/runtime/src/camphorstair_runtime/http_messages.py
+++ b/packages/runtime/src/camphorstair_runtime/http_messages.py
@@ -75,6 +75,35 @@
     return [pair for pair in headers if pair[0] not in _HOP_BY_HOP]
 
 
+def encoded(headers: HeaderList) -> list[tuple[bytes, bytes]]:
+    """Return headers as the bytes that they are sent with.
+
+    Received values may have any bytes over 127; they are decoded as Latin-1,
+    so that each byte is one character.
+
+    :raises UnicodeEncodeError: if a header has a character beyond Latin-1.
+    """
+    return [
+        (name.encode('ascii'), text.encode('latin-1')) for name, text in headers
+    ]
+
+
+def header_text(text: str) -> str:
+    """Return a text of any characters as a header value, in UTF-8."""
+    return text.encode().decode('latin-1')
+
+
+def text_of_header(header_value: str) -> str:
+    """Return the text that a received header value holds in UTF-8.
+
+    A value that is not UTF-8 is returned as it is.
+    """
+    try:
+        return header_value.encode('latin-1').decode()
+    except UnicodeError:
+        return header_value
+
+
 def json_response(status: int, payload: object) -> Response:
     """Return a response with a JSON body."""
     headers = [('content-type', 'application/json')]
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -3,6 +3,7 @@
 import http
 import logging
 import socket
+import types
 from collections import abc
 
 import attrs
@@ -21,6 +22,9 @@
 MAX_PIPELINED_BYTES = 65536
 DRAIN_LIMIT_S = 2.0
 _OLD_VERSION = b'1.0'
+_REASONS = types.MappingProxyType(
+    {status.value: status.phrase for status in http.HTTPStatus}
+)
 
 _LOG = logging.getLogger(__name__)
 
@@ -65,16 +69,17 @@
         headers: http_messages.HeaderList,
     ) -> None:
         """Send the status line and headers of the response."""
-        self.started = True
         response_headers = list(headers)
         if self.closing:
             response_headers.append(('connection', 'close'))
-        reason = http.HTTPStatus(status).phrase
-        await self._send(
-            h11.Response(
-                status_code=status, headers=response_headers, reason=reason
-            ),
+        response = h11.Response(
+            status_code=status,
+            headers=http_messages.encoded(response_headers),
+            reason=_reason(status),
         )
+        # Nothing was sent as long as the response can't be encoded.
+        self.started = True
+        await self._send(response)
 
     async def send(self, chunk: bytes) -> None:
         """Send a part of the response body."""
@@ -257,6 +262,11 @@
         await self.handler(request, responder)
 
 
+def _reason(status: int) -> str:
+    """Return the phrase of a status; empty if it has none."""
+    return _REASONS.get(status, '')
+
+
 def _closing_error() -> errors.RequestError:
     """Return the error for a request that arrives as the connection closes."""
     return errors.RequestError(
