Let other tasks run while many changes of the store are applied

The first listing of a large store, or of one into which another writer has put many keys, was applied in one go: decoding 600 registrations and a configuration of a megabyte kept requests waiting. The rows of an update count like everything else that others send, so others get a turn after 64 rows or 256 KiB. The confirmed age is recorded after all rows, as before, and readiness follows it.

--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -10,7 +10,7 @@
 from camphorstair_core.fleet import content_age, store_copy
 from camphorstair_fleet import sources
 from camphorstair_platform import store_errors
-from camphorstair_runtime import clocks
+from camphorstair_runtime import clocks, fairness
 
 # Pause before the next watch after changes. Changes often come in bursts, as when
 # all endpoints register, and each answer of a watch costs a call.
@@ -60,8 +60,8 @@
             if self.had_changes:
                 await curio.sleep(BURST_PAUSE_S)
             await self._run_round()
-            for row in store_copy.due(self.known, clocks.monotonic_s()):
-                self._apply_change(row)
+            due = store_copy.due(self.known, clocks.monotonic_s())
+            await self._apply_changes(due)
             await self._end_round()
             await self.after_round()
 
@@ -117,16 +117,15 @@
             await curio.sleep(RETRY_INTERVAL_S)
         else:
             self.failed = False
-            self._take(fetched)
+            await self._take(fetched)
 
-    def _take(self, fetched: sources.Fetched) -> None:
+    async def _take(self, fetched: sources.Fetched) -> None:
         known = self.known
         era = known.era
         changes = store_copy.take(known, fetched.update, clocks.monotonic_s())
         if known.era != era:
             _LOG.warning('the store is in era %s after %s', known.era, era)
-        for row in changes:
-            self._apply_change(row)
+        await self._apply_changes(changes)
         self.had_changes = bool(changes)
         if fetched.update.era == known.era and known.revision is not None:
             self._record_proof(fetched.confirmed_s)
@@ -137,6 +136,12 @@
         for event in events:
             await event.set()
 
+    async def _apply_changes(self, rows: list[store_copy.Item]) -> None:
+        """Apply changes; other tasks run in between if there are many."""
+        for row in rows:
+            self._apply_change(row)
+            await fairness.count_event(len(row.content or b''))
+
     def _apply_change(self, row: store_copy.Item) -> None:
         """Apply a change; one that can't be applied is logged.
 
