--- a/packages/agent/src/camphorstair_agent/fleet/leading.py
+++ b/packages/agent/src/camphorstair_agent/fleet/leading.py
@@ -60,6 +60,8 @@
         monotonic clock.
     :ivar rounds: Logs why rounds plan no new map.
     :ivar unanswered: Orders without an answer since the last round.
+    :ivar unanswered_hold_step: Step of the last order to hold that had no answer;
+        0 if there was none.
     """
 
     agent: state.FleetAgent
@@ -76,6 +78,7 @@
     unreliable_deadline_s: float = 0
     rounds: round_logs.RoundLog = attrs.field(factory=round_logs.RoundLog)
     unanswered: rank_calls.Orders = attrs.field(factory=list)
+    unanswered_hold_step: int = 0
 
     async def run(self) -> None:
         """Run rounds until the lease is lost.
@@ -233,6 +236,7 @@
             # The hold is at another VM, which releases it if this one fails.
             (self.membership.rank + 1) % self.membership.size,
             self._step_margin(),
+            self.unanswered_hold_step,
         )
         if not orders or not self.leadership.held():
             return ORDER_INTERVAL_S
@@ -243,6 +247,7 @@
         hold = orders[0]
         status = await self.calls.hold(hold, ranks[hold.rank], self.maps.epoch)
         if not status:
+            self.unanswered_hold_step = hold.step
             self._record_unanswered([hold])
         return 0
 
--- a/packages/core/src/camphorstair_core/experts/group_orders.py
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -15,6 +15,13 @@
    of the ranks armed, these would use another map than the others.
 4. When every rank reports that it is armed, the hold is released.
 
+A version is armed for one step only. An order to arm may be carried out late, as
+long as its step has not begun; if the ranks had been armed for another step
+meanwhile, it would take one of them out. So the planner holds the group for a
+switch at one step only: an order to hold without an answer is repeated for the
+same step until that has begun. A hold at another step, as of an earlier
+planner, is released once all ranks are armed.
+
 A held group whose ranks have not all prepared the same version was never
 armed, and its hold is released at once. Versions increase with the store's era
 and revision under which a planner took its lease. So no two planners use the same
@@ -110,6 +117,7 @@
     wanted: int,
     hold_rank: int,
     margin: int = STEP_MARGIN,
+    unanswered_step: int = 0,
 ) -> list[Order]:
     """Return the next orders that switch a group without a hold to a new map.
 
@@ -118,6 +126,8 @@
     :param wanted: Version of the new map.
     :param hold_rank: The rank that is to hold the group.
     :param margin: How many steps after the current one the held step is.
+    :param unanswered_step: Step of the last order to hold that had no answer; 0
+        if there is none. It may still be carried out until that step begins.
     :returns: Orders to prepare the map or, once all ranks have prepared it, to
         hold. Empty if a report is missing, if any rank is armed, or if any
         rank already uses this version or a later one.
@@ -135,7 +145,8 @@
     ]
     if prepare_orders:
         return prepare_orders
-    step = max(report.step for report in reports.values()) + margin
+    begun = max(report.step for report in reports.values())
+    step = unanswered_step if unanswered_step > begun else begun + margin
     return [Order(hold_rank, OrderKind.hold, step=step)]
 
 
@@ -155,8 +166,8 @@
         hold. Only two rounds show that the ranks had not prepared the same
         version when the hold began.
     :returns: If all ranks have prepared the same version and not all use it
-        yet: orders to arm the ranks or, once all are armed, to release the
-        hold. Otherwise orders to release it if the earlier round already saw
+        yet: orders to arm the ranks or, once all are armed for one step, to
+        release the hold. Otherwise orders to release it if the earlier round already saw
         every hold. The hold of the lowest step is released first. Empty if
         there is no hold, if a report is missing, or if a hold must be seen
         again.
@@ -164,20 +175,36 @@
     held = holds(reports)
     if not held or not _is_complete(reports, size):
         return []
-    step = min(held_step for _rank, held_step in held)
-    release = _release_orders(held, step)
     version = _prepared_by_all(reports)
     if version is None:
-        return release if held <= held_before else []
-    arm_orders = [
+        return _release_orders(held) if held <= held_before else []
+    return _arm_orders(reports, version, held) or _release_orders(held)
+
+
+def _arm_orders(reports: Reports, version: int, held: Holds) -> list[Order]:
+    """Return the orders to arm ranks; none if all are armed for one step.
+
+    The step is the held one for which some are armed already, if there is one:
+    others may have orders for it that are still to be carried out.
+    """
+    armed_steps = {
+        report.armed_step if report.armed_version == version else 0
+        for report in reports.values()
+    }
+    if len(armed_steps) == 1 and armed_steps != {0}:
+        return []
+    held_steps = {held_step for _rank, held_step in held}
+    step = min(held_steps & armed_steps or held_steps)
+    return [
         Order(rank, OrderKind.arm, version, step)
         for rank, report in sorted(reports.items())
         if (report.armed_version, report.armed_step) != (version, step)
     ]
-    return arm_orders or release
 
 
-def _release_orders(held: Holds, step: int) -> list[Order]:
+def _release_orders(held: Holds) -> list[Order]:
+    """Return the orders that release the hold of the lowest step."""
+    step = min(held_step for _rank, held_step in held)
     return [
         Order(rank, OrderKind.go, step=step)
         for rank, held_step in sorted(held)
--- a/tests/test_group_orders.py
+++ b/tests/test_group_orders.py
@@ -9,6 +9,7 @@
 
 SIZE = 3
 ROUNDS = 40
+MARGINS = (1, 2, 3, 5, group_orders.CAUTIOUS_STEP_MARGIN)
 Order = group_orders.Order
 OrderKind = group_orders.OrderKind
 
@@ -22,15 +23,20 @@
     :ivar round_reports: Reports of the round in progress by rank.
     :ivar previous_holds: Held passes in the reports of the previous round,
         as pairs of rank and pass.
+    :ivar unanswered_step: Step of its last order to hold without an answer.
     """
 
     target_version: int | None
     round_reports: group_orders.Reports = attrs.field(factory=dict)
     previous_holds: group_orders.Holds = frozenset()
+    unanswered_step: int = 0
 
-    def look(self, world: rank_world.World) -> list[Order]:
+    def look(
+        self, world: rank_world.World, margin: int = group_orders.STEP_MARGIN
+    ) -> list[Order]:
         """Read one more rank's report.
 
+        :param margin: How many steps ahead a hold is ordered.
         :returns: The orders if this report completes a round, else none.
         """
         number = len(self.round_reports)
@@ -46,7 +52,7 @@
         if self.target_version is None:
             return []
         return group_orders.orders_before_hold(
-            reports, SIZE, self.target_version, 1
+            reports, SIZE, self.target_version, 1, margin, self.unanswered_step
         )
 
 
@@ -61,14 +67,22 @@
         self.version = group_orders.version_number(1, 1, 1)
         self.planners = [Planner(self.version), Planner(None)]
 
-    @stateful.rule(which=st.integers(0, 1), fate=st.integers(0, 3))
-    def look(self, which: int, fate: int) -> None:
+    @stateful.rule(
+        which=st.integers(0, 1),
+        fate=st.integers(0, 3),
+        margin=st.sampled_from(MARGINS),
+    )
+    def look(self, which: int, fate: int, margin: int) -> None:
         """Let a planner read a report; carry out, delay, repeat or lose orders.
 
         :param fate: 0 carries orders out, 1 delays them, 2 does both, 3 loses
             them.
+        :param margin: How many steps ahead a hold is ordered.
         """
-        for order in self.planners[which].look(self.world):
+        planner = self.planners[which]
+        for order in planner.look(self.world, margin):
+            if order.kind is OrderKind.hold and fate in {1, 3}:
+                planner.unanswered_step = order.step
             if fate != 3:
                 self.world.delayed_orders.append(order)
             if fate in {0, 2}:
@@ -188,3 +202,47 @@
     margin = group_orders.CAUTIOUS_STEP_MARGIN
     orders = group_orders.orders_before_hold(reports, SIZE, 5, 1, margin)
     assert orders == [Order(1, OrderKind.hold, step=10 + margin)]
+
+
+def _armed(world: rank_world.World, version: int, *steps: int) -> None:
+    """Let ranks that have prepared a version be armed for steps; 0 is none."""
+    for rank, step in zip(world.ranks, steps, strict=True):
+        rank.armed = (version, step) if step else (0, 0)
+
+
+# A late order to hold let all ranks be armed anew for an earlier step; one late
+# order to arm for the step before then left its rank on the old map (review/1).
+def test_a_late_hold_does_not_arm_ranks_for_another_step() -> None:
+    ranks = [rank_world.Rank(prepared=5) for _ in range(SIZE)]
+    world = rank_world.World(ranks, step=10)
+    _armed(world, 5, 13, 13, 13)
+    world.carry_out(Order(1, OrderKind.hold, step=11))
+    orders = group_orders.orders_while_held(world.reports(), SIZE, frozenset())
+    assert orders == [Order(1, OrderKind.go, step=11)]
+    for order in orders:
+        world.carry_out(order)
+    world.carry_out(Order(2, OrderKind.arm, 5, 13))
+    while world.step < 13:
+        world.begin_pass()
+    assert {rank.version for rank in world.ranks} == {5}
+    assert not world.mixed_maps
+
+
+def test_ranks_are_armed_for_the_held_step_that_some_are_armed_for() -> None:
+    ranks = [rank_world.Rank(prepared=5) for _ in range(SIZE)]
+    world = rank_world.World(ranks, step=10)
+    _armed(world, 5, 13, 0, 0)
+    world.carry_out(Order(2, OrderKind.hold, step=13))
+    world.carry_out(Order(1, OrderKind.hold, step=11))
+    orders = group_orders.orders_while_held(world.reports(), SIZE, frozenset())
+    assert orders == [Order(rank, OrderKind.arm, 5, 13) for rank in (1, 2)]
+
+
+def test_an_unanswered_hold_is_repeated_for_the_same_step() -> None:
+    ranks = [rank_world.Rank(prepared=5) for _ in range(SIZE)]
+    for step, held_step in ((10, 12), (11, 12), (12, 20)):
+        reports = rank_world.World(ranks, step=step).reports()
+        orders = group_orders.orders_before_hold(
+            reports, SIZE, 5, 1, 8, unanswered_step=12
+        )
+        assert orders == [Order(1, OrderKind.hold, step=held_step)]
