--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -94,20 +94,11 @@
             await self._run()
         except (attempt_errors.AttemptError, http_server.Disconnected):
             raise
-        except http_client.UnsendableError as unsendable:
-            raise attempt_errors.AttemptError(
-                str(unsendable),
-                verdicts.Verdict.not_run,
-                sent=False,
-                withdrawn=True,
-            ) from unsendable
         except http_client.HttpError as error:
-            raise self._failure(str(error), sent=error.sent) from error
+            raise _failure(error, sent=error.sent) from error
         except Exception as unexpected:
             _LOG.exception('attempt failed unexpectedly')
-            raise self._failure(
-                repr(unexpected), sent=self.call.sent
-            ) from unexpected
+            raise _failure(unexpected, sent=self.call.sent) from unexpected
 
     def abort(self) -> None:
         """Abort the attempt as if the endpoint had closed the connection."""
@@ -136,18 +127,6 @@
                 registration.address, exchange, idle_s, clocks.monotonic_s()
             )
 
-    def _failure(
-        self, reason: str, *, sent: bool
-    ) -> attempt_errors.AttemptError:
-        """Return the error for an attempt without a complete answer.
-
-        :param sent: Whether the request may have reached the endpoint.
-        """
-        verdict = verdicts.Verdict.not_run
-        if sent:
-            verdict = verdicts.Verdict.may_have_run
-        return attempt_errors.AttemptError(reason, verdict, sent=sent)
-
     def _check_wanted(self) -> None:
         """Withdraw the request if it must not be sent any more.
 
@@ -332,3 +311,20 @@
         body = await held.read_whole(exchange)
     response_headers = headers.for_caller(exchange.headers)
     return http_messages.Response(exchange.status, response_headers, body)
+
+
+def _failure(error: Exception, *, sent: bool) -> attempt_errors.AttemptError:
+    """Return the error for an attempt without a complete answer.
+
+    :param error: What ended it.
+    :param sent: Whether the request may have reached the endpoint.
+    """
+    verdict = verdicts.Verdict.not_run
+    if sent:
+        verdict = verdicts.Verdict.may_have_run
+    return attempt_errors.AttemptError(
+        str(error) or repr(error),
+        verdict,
+        sent=sent,
+        withdrawn=isinstance(error, http_client.UnsendableError),
+    )
