Do not expect numbers where a stream has none yet

Found on reading the change again, before any landing: since a stream whose first bytes were a comment, or an event without a number, before a numbered one, was cut with an internal error, as the number before it was read from an empty text (or from a caller's odd Last-Event-Id).

Cause: the count of forwarded events stood for "a number is known". Fix: a number is expected only after one that is known.

--- a/packages/core/src/camphorstair_core/fleet/stream_progress.py
+++ b/packages/core/src/camphorstair_core/fleet/stream_progress.py
@@ -10,6 +10,8 @@
 
 _IDENTIFIER = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _NUMBER = re.compile(r'[0-9]{1,18}')
+# Events after which their numbers tell whether they are consecutive.
+_MIN_EVENTS = 2
 _DATA_LINE = re.compile(rb'^data', re.MULTILINE)
 _EVENT = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
 
@@ -67,8 +69,11 @@
                     f'an event after {self.last_event} is unnumbered'
                 )
         numbers = _IDENTIFIER.findall(b''.join(missing))
-        is_known = self.consecutive and self.events > 1
-        if is_known and numbers and int(numbers[0]) != int(self.last_event) + 1:
+        if not numbers or not self.consecutive or self.events < _MIN_EVENTS:
+            return
+        if not _NUMBER.fullmatch(self.last_event):
+            return
+        if int(numbers[0]) != int(self.last_event) + 1:
             raise StreamError(f'no event follows {self.last_event}')
 
     def _is_missing(self, event: bytes) -> bool:
@@ -91,7 +96,7 @@
     def _check_numbers(self, numbers: list[int]) -> None:
         """Note whether event numbers follow each other without a gap."""
         first = numbers[0]
-        if self.events > len(numbers):
+        if _NUMBER.fullmatch(self.last_event):
             first = int(self.last_event) + 1
         expected = list(range(first, first + len(numbers)))
         self.consecutive = self.consecutive and numbers == expected
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -9,6 +9,7 @@
 import pytest
 import raw_endpoints
 
+from camphorstair_core.fleet import stream_progress
 from camphorstair_platform_standins import exchange_headers, scripted
 from camphorstair_runtime import http_client
 
@@ -172,3 +173,31 @@
     async with curio.timeout_after(fleet_bench.WAIT_LIMIT_S):
         while await sock.recv(65536):
             await curio.sleep(0)
+
+
+@pytest.mark.parametrize('last_event', ['', '²', '7', 'x'])
+@pytest.mark.parametrize(
+    'parts',
+    [
+        (b': hello\n\nid: 8\ndata: y\n\n', b'id: 9\ndata: z\n\n'),
+        (b'data: y\n\n', b'id: 9\ndata: z\n\n'),
+        (b'id: 8\ndata: y\n\n', b': alive\n\n', b'id: 19\ndata: z\n\n'),
+        (b'id: x\ndata: y\n\n', b'event: end\n\n'),
+    ],
+)
+def test_a_first_attempt_may_send_any_events(
+    last_event: str, parts: tuple[bytes, ...]
+) -> None:
+    stream = stream_progress.StreamProgress(last_event)
+    for part in parts:
+        assert stream.take(part, resumed=False) == part
+
+
+@pytest.mark.parametrize('last_event', ['', '7'])
+def test_events_that_were_not_consecutive_may_go_on_with_any_number(
+    last_event: str,
+) -> None:
+    stream = stream_progress.StreamProgress(last_event)
+    stream.take(b'id: 10\ndata: y\n\nid: 20\ndata: y\n\n', resumed=False)
+    rest = b'id: 40\ndata: z\n\n'
+    assert stream.take(rest, resumed=True) == rest
