--- a/specs/group_orders.py
+++ b/specs/group_orders.py
@@ -1,9 +1,8 @@
 """Specification: no step of a rank group begins with two expert maps.
 
 A planner and a rescuer read the reports of the ranks one by one and issue the
-orders returned by ``camphorstair_core.experts.group_orders``. An issued order
-is pending: it may be executed at any time, once, repeatedly or never. The next
-step may begin at any time unless a rank holds it.
+orders returned by ``camphorstair_core.experts.group_orders``. A group is held
+at one step only; ``group_holds`` has holds at several.
 """
 
 import enum
@@ -12,10 +11,10 @@
 import minicheck
 
 from camphorstair_core.experts import group_orders
+from specs import rank_group
 
-RANKS = 2
-# The last step and the number of pending orders bound the state space.
-LAST_STEP = 4
+RANKS = rank_group.RANKS
+# The number of pending orders bounds the state space.
 STEP_MARGIN = 1
 MAX_PENDING = 3
 TARGET_VERSION = 1
@@ -40,25 +39,6 @@
     releases_while_arming = 'releases_while_arming'
 
 
-@attrs.define(frozen=True, cache_hash=True)
-class Rank:
-    """One rank, as the platform documents its behaviour.
-
-    :ivar version: Version of the map in use.
-    :ivar prepared: Version of the prepared map; 0 for none.
-    :ivar highest_prepared: Highest version that the rank has prepared so far.
-    :ivar armed: Version that the rank will switch to and the step at which it
-        will; zeros for none.
-    :ivar held: Step that must not begin until the rank releases it, or None.
-    """
-
-    version: int = 0
-    prepared: int = 0
-    highest_prepared: int = 0
-    armed: tuple[int, int] = (0, 0)
-    held: int | None = None
-
-
 @attrs.define(frozen=True, cache_hash=True)
 class Reader:
     """A process that reads the reports of the ranks and issues orders.
@@ -74,22 +54,14 @@
     held: group_orders.Holds = frozenset()
 
 
-@attrs.define(frozen=True, cache_hash=True)
-class World:
+@attrs.define(frozen=True, cache_hash=True, kw_only=True)
+class World(rank_group.Group):
     """State of the whole system.
 
-    :ivar ranks: The ranks of the group.
     :ivar readers: The planner and the rescuer.
-    :ivar step: Number of the last step that began.
-    :ivar pending: Pending orders, which may still be executed.
-    :ivar mixed: Whether a step began with two maps.
     """
 
-    ranks: tuple[Rank, ...]
     readers: tuple[Reader, ...]
-    step: int = 0
-    pending: frozenset[group_orders.Order] = frozenset()
-    mixed: bool = False
 
 
 Step = tuple[str, tuple[World]]
@@ -105,32 +77,22 @@
         world = state[0]
         if world.mixed:
             return []
-        after = [('pass', _begin_step(world))]
+        after = rank_group.moves(world)
         for number, _reader in enumerate(world.readers):
             after.append(('read', _read_next_rank(world, number, mutant)))
-        for order in world.pending:
-            executed = _execute(world, order)
-            after.append(('executed, still pending', executed))
-            remaining = world.pending - {order}
-            after.append(
-                (
-                    'executed for the last time',
-                    attrs.evolve(executed, pending=remaining),
-                )
-            )
         return [
             (name, (successor,))
             for name, successor in after
             if successor != world
         ]
 
-    ranks = tuple(Rank() for _ in range(RANKS))
+    ranks = tuple(rank_group.Rank() for _ in range(RANKS))
     readers = (Reader(is_planner=True), Reader(is_planner=False))
     return minicheck.Protocol(
         name='group_orders',
         candidate=False,
         fields=('world',),
-        initial=(World(ranks, readers),),
+        initial=(World(ranks=ranks, readers=readers),),
         transitions=transitions,
         invariants={'one map': lambda state: not state['world'].mixed},
     )
@@ -143,7 +105,7 @@
     unchanged if too many orders would be pending.
     """
     reader = world.readers[number]
-    reports = (*reader.read, _report(world, len(reader.read)))
+    reports = (*reader.read, rank_group.report(world, len(reader.read)))
     if len(reports) < RANKS:
         return _with_reader(world, number, attrs.evolve(reader, read=reports))
     by_rank = dict(enumerate(reports))
@@ -200,60 +162,3 @@
     readers = list(world.readers)
     readers[number] = reader
     return attrs.evolve(world, readers=tuple(readers))
-
-
-def _report(world: World, number: int) -> group_orders.RankReport:
-    rank = world.ranks[number]
-    return group_orders.RankReport(
-        1, world.step, rank.version, rank.prepared, *rank.armed, rank.held
-    )
-
-
-def _begin_step(world: World) -> World:
-    """Begin the next step unless a rank holds it."""
-    next_step = world.step + 1
-    is_held = any(rank.held == next_step for rank in world.ranks)
-    if is_held or next_step > LAST_STEP:
-        return world
-    ranks = tuple(_switch_if_armed(rank, next_step) for rank in world.ranks)
-    versions = {rank.version for rank in ranks}
-    return attrs.evolve(
-        world, ranks=ranks, step=next_step, mixed=len(versions) > 1
-    )
-
-
-def _switch_if_armed(rank: Rank, step: int) -> Rank:
-    """Switch a rank to its armed version if it is armed for this step."""
-    if rank.armed[1] != step:
-        return rank
-    return attrs.evolve(rank, version=rank.armed[0], prepared=0, armed=(0, 0))
-
-
-def _execute(world: World, order: group_orders.Order) -> World:
-    ranks = list(world.ranks)
-    ranks[order.rank] = _execute_at_rank(
-        world.ranks[order.rank], order, world.step
-    )
-    return attrs.evolve(world, ranks=tuple(ranks))
-
-
-def _execute_at_rank(rank: Rank, order: group_orders.Order, step: int) -> Rank:
-    """Return a rank after it received an order.
-
-    The rank refuses an order that doesn't apply to its state.
-
-    :param rank: The rank before.
-    :param order: The order.
-    :param step: Number of the last step that began.
-    """
-    version = order.version
-    is_future_step = order.step > step
-    if order.kind is _KIND.prepare and version > rank.highest_prepared:
-        return attrs.evolve(rank, prepared=version, highest_prepared=version)
-    if order.kind is _KIND.hold and is_future_step and rank.held is None:
-        return attrs.evolve(rank, held=order.step)
-    if order.kind is _KIND.arm and is_future_step and version == rank.prepared:
-        return attrs.evolve(rank, armed=(version, order.step))
-    if order.kind is _KIND.go and rank.held == order.step:
-        return attrs.evolve(rank, held=None)
-    return rank
