--- a/tests/test_odd_neighbours.py
+++ b/tests/test_odd_neighbours.py
@@ -275,7 +275,7 @@
 
 
 # Any error that an attempt did not expect was answered 500, and the endpoint
-# was chosen again for the next request.
+# was asked again by the next request.
 @pytest.mark.parametrize(
     ('path', 'failed'),
     [('/look/', 0), ('/book/', ejection.FAILURES_TO_EJECT)],
