--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -1,6 +1,7 @@
 """One attempt: sends a request to an endpoint and relays the answer."""
 
 import http
+import logging
 
 import attrs
 
@@ -29,11 +30,14 @@
     closing,
     http_client,
     http_messages,
+    http_server,
 )
 
 # Answers to other requests that are skipped before an attempt fails.
 MAX_MISMATCHED_ANSWERS = 4
 
+_LOG = logging.getLogger(__name__)
+
 
 @attrs.define(eq=False)
 class Attempt:
@@ -79,8 +83,31 @@
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
+        Whatever else goes wrong with the answer of an endpoint is a failure of
+        that endpoint, so that the next request goes elsewhere.
+
         :raises attempt_errors.AttemptError: if the caller did not receive a
             complete answer.
+        :raises http_server.Disconnected: if the caller has disconnected.
+        """
+        try:
+            await self._run()
+        except (attempt_errors.AttemptError, http_server.Disconnected):
+            raise
+        except http_client.HttpError as error:
+            raise self._failure(str(error), sent=error.sent) from error
+        except Exception as unexpected:
+            _LOG.exception('attempt failed unexpectedly')
+            raise self._failure(
+                repr(unexpected), sent=self.call.sent
+            ) from unexpected
+
+    async def _run(self) -> None:
+        """Send the request and relay the answer.
+
+        :raises attempt_errors.AttemptError: if the endpoint did not answer with
+            success.
+        :raises http_client.HttpError: if the exchange fails.
         """
         registration = self.candidate.endpoint.registration
         exchange = await self._connect(registration.address)
@@ -91,15 +118,23 @@
             answer = await self._send_request(exchange, registration.endpoint)
             await self._relay_answer(exchange, answer)
             idle_s = answer.idle_timeout_s
-        except http_client.HttpError as error:
-            raise attempt_errors.AttemptError(
-                str(error), verdicts.Verdict.may_have_run
-            ) from error
         finally:
             await self.entry.connection_pool.keep(
                 registration.address, exchange, idle_s, clocks.monotonic_s()
             )
 
+    def _failure(
+        self, reason: str, *, sent: bool
+    ) -> attempt_errors.AttemptError:
+        """Return the error for an attempt without a complete answer.
+
+        :param sent: Whether the request may have reached the endpoint.
+        """
+        verdict = verdicts.Verdict.not_run
+        if sent:
+            verdict = verdicts.Verdict.may_have_run
+        return attempt_errors.AttemptError(reason, verdict, sent=sent)
+
     def abort(self) -> None:
         """Abort the attempt as if the endpoint had closed the connection."""
         if self.exchange is not None:
@@ -134,19 +169,14 @@
         An idle connection is reused only for a repeatable request: the
         endpoint may close it just as the request is sent.
 
-        :raises attempt_errors.AttemptError: if no connection can be opened.
+        :raises http_client.HttpError: if no connection can be opened.
         """
         if self.call.route.repeatable():
             now_s = clocks.monotonic_s()
             idle = await self.entry.connection_pool.take(address, now_s)
             if idle is not None:
                 return idle
-        try:
-            return await connections.connect(address)
-        except http_client.HttpError as error:
-            raise attempt_errors.AttemptError(
-                str(error), verdicts.Verdict.not_run, sent=False
-            ) from error
+        return await connections.connect(address)
 
     async def _send_request(
         self,
--- a/tests/test_odd_neighbours.py
+++ b/tests/test_odd_neighbours.py
@@ -14,9 +14,9 @@
 
 from camphorstair_agent.fleet import engine_calls, instruments, listing, state
 from camphorstair_agent.fleet import sensing as load_reporting
-from camphorstair_core.fleet import content_age, store_copy
+from camphorstair_core.fleet import content_age, ejection, store_copy
 from camphorstair_fleet import internal_messages, mirroring, sources
-from camphorstair_platform import boot, store
+from camphorstair_platform import boot, headers, store
 from camphorstair_platform_standins import documents, scripted
 from camphorstair_runtime import http_client, http_messages
 from camphorstair_standins import loopback
@@ -272,3 +272,37 @@
         assert agent.report is None
 
     bench.run(body)
+
+
+# Any error that an attempt did not expect was answered 500, and the endpoint
+# was chosen again for the next request.
+@pytest.mark.parametrize(
+    ('path', 'failed'),
+    [('/look/', 0), ('/book/', ejection.FAILURES_TO_EJECT)],
+)
+def test_an_unexpected_error_on_an_attempt_counts_against_its_endpoint(
+    bench: fleet_bench.FleetBench,
+    path: str,
+    failed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    decode_answer = headers.decode_answer
+
+    def fail(
+        answer_status: int, pairs: http_messages.HeaderList
+    ) -> headers.AnswerHeaders:
+        if http_messages.header(pairs, 'x-odd'):
+            raise KeyError('unexpected')
+        return decode_answer(answer_status, pairs)
+
+    monkeypatch.setattr(headers, 'decode_answer', fail)
+    odd = scripted.Script(says=(('x-odd', '1'),))
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_endpoint('i-odd', 'plain', odd)
+        await running.add_endpoint('i-2', 'plain')
+        statuses = [(await running.call(path)).status for _ in range(20)]
+        assert set(statuses) <= {200, 502}
+        assert statuses.count(502) <= failed
+
+    bench.run(body)
