--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -94,6 +94,13 @@
             await self._run()
         except (attempt_errors.AttemptError, http_server.Disconnected):
             raise
+        except http_client.UnsendableError as unsendable:
+            raise attempt_errors.AttemptError(
+                str(unsendable),
+                verdicts.Verdict.not_run,
+                sent=False,
+                withdrawn=True,
+            ) from unsendable
         except http_client.HttpError as error:
             raise self._failure(str(error), sent=error.sent) from error
         except Exception as unexpected:
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -43,6 +43,14 @@
         self.sent = sent
 
 
+class UnsendableError(HttpError):
+    """A request that HTTP can't express; no server is at fault."""
+
+    def __init__(self, message: str) -> None:
+        """Store the message; nothing was sent."""
+        super().__init__(message, sent=False)
+
+
 @attrs.define
 class Exchange:
     """A client connection with its current request and response.
@@ -309,14 +317,15 @@
     :param host: Value of the host header.
     :param request: The request.
     :param write: Writes in place of the socket and raises ``OSError`` like it.
-    :raises HttpError: if the request can't be sent as it is, or sending fails;
-        then part or all of it may have reached the server.
+    :raises UnsendableError: if the request can't be encoded.
+    :raises HttpError: if sending fails; part or all of the request may have
+        reached the server.
     """
     write = write or exchange.sock.sendall
     try:
         content = _encode_request(exchange, host, request)
     except (h11.LocalProtocolError, UnicodeError) as fault:
-        raise HttpError(f'request to {host}: {fault}', sent=False) from fault
+        raise UnsendableError(f'request to {host}: {fault}') from fault
     try:
         await write(content)
     except OSError as error:
--- a/tests/test_header_bytes.py
+++ b/tests/test_header_bytes.py
@@ -131,3 +131,43 @@
         await exchange.close()
 
     fleet_bench.FleetBench().run(body)
+
+
+def test_a_request_that_can_not_be_encoded_is_no_failure_of_an_endpoint(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        endpoint = await running.add_endpoint('i-1', 'plain')
+        running.configure(
+            2,
+            Tenants=[
+                documents.organisation('a\nb', 'odd'),
+                documents.organisation('gravier', fleet_bench.KEY),
+            ],
+        )
+        await running.wait_until(
+            lambda: running.entry.configuration.version == 2
+        )
+        for _ in range(3):
+            assert (await running.call('/book/', key='odd')).status == 503
+        candidate = running.entry.candidates['i-1']
+        assert not candidate.health.failures
+        assert not endpoint.arrivals
+        assert (await running.call('/book/')).status == 200
+
+    bench.run(body)
+
+
+def test_an_endpoint_may_have_any_letters_but_no_control_characters(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        endpoint = await raw_endpoints.add(
+            running, 'i-Θ', 'plain', raw_endpoints.sealed('a1')
+        )
+        running.register('i-\n', 'plain', '127.0.0.1:1')
+        assert (await running.call('/book/')).status == 200
+        assert 'expect-instance: i-Θ\r\n'.encode() in endpoint.requests[0][0]
+        assert set(running.entry.endpoints.endpoints) == {'i-Θ'}
+
+    bench.run(body)
