--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,6 +1,7 @@
 """One rank of a group turns slow while it sends streams."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -9,6 +10,9 @@
 
 import small_site
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 RANKS = 4
 # As in the site file.
 SLOTS = 12
@@ -19,7 +23,7 @@
 MORE_THAN = 3
 
 
-async def play(site, trouble):
+async def play(site):
     small_site.Rank.size = RANKS
     ranks = [
         await small_site.Rank(
@@ -96,7 +100,7 @@
 
     callers = [asyncio.ensure_future(call(n)) for n in range(CALLERS)]
     await asyncio.sleep(4)
-    if trouble:
+    if TROUBLE:
         site.record.note(f'rank 0 works {SLOW_FACTOR} times as long')
         small_site.Rank.paces = {0: SLOW_FACTOR}
     await asyncio.sleep(SLOW_FOR_S)
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,6 +1,7 @@
 """A runner leaves shortly after a cut between an entry and the store."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -10,6 +11,9 @@
 
 import small_site
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 RUNNERS = 3
 CUT_S = 5.5
 # The runner leaves this long after the end of the cut.
@@ -20,7 +24,7 @@
 PAUSE_S = 0.02
 
 
-async def play(site, trouble):
+async def play(site):
     store = site.store
     runners = [
         await small_site.Runner(store, site.record, 'counter').start()
@@ -49,7 +53,7 @@
 
     senders = [asyncio.ensure_future(send(n)) for n in range(SENDERS)]
     await asyncio.sleep(2)
-    if trouble:
+    if TROUBLE:
         store.cut('front-1')
         site.record.note('front-1 is cut off from the store')
     await asyncio.sleep(CUT_S)
--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -849,9 +849,8 @@
 
     async def play_all():
         site = Site(pathlib.Path(folder) / 'record.txt')
-        trouble = os.environ.get('TROUBLE', '1') != '0'
         try:
-            broken = await play(site, trouble)
+            broken = await play(site)
         finally:
             site.close()
         verdict = 'the rule was broken' if broken else 'the rule held'
