--- a/packages/core/src/camphorstair_core/fleet/content_age.py
+++ b/packages/core/src/camphorstair_core/fleet/content_age.py
@@ -3,6 +3,10 @@
 import attrs
 
 NEVER_S = float('-inf')
+# Time after the latest unanswered call for which keys that lapsed meanwhile may
+# still be written again. Their owners do so within about two seconds of the
+# store's return, which a process notices up to a second later.
+RETURN_LIMIT_S = 2.8
 
 
 @attrs.define
@@ -16,13 +20,14 @@
     :ivar answered_s: When the store last answered.
     :ivar outage_start_s: Start of the current outage: when the first call that
         the store left unanswered was sent; None while the store answers.
-    :ivar outage_end_s: When the store answered again after the last outage.
+    :ivar unanswered_s: When the latest call that the store left unanswered was
+        sent, so that the store can't have been reached before.
     """
 
     confirmed_s: float = NEVER_S
     answered_s: float = NEVER_S
     outage_start_s: float | None = None
-    outage_end_s: float = NEVER_S
+    unanswered_s: float = NEVER_S
 
 
 def record_confirmation(
@@ -38,9 +43,7 @@
     content_age.confirmed_s = max(content_age.confirmed_s, sent_s)
     content_age.answered_s = now_s
     regained = content_age.outage_start_s is not None
-    if regained:
-        content_age.outage_end_s = now_s
-        content_age.outage_start_s = None
+    content_age.outage_start_s = None
     return regained
 
 
@@ -51,12 +54,37 @@
     :param sent_s: When the call was sent.
     :returns: Whether this failure begins an outage.
     """
+    content_age.unanswered_s = sent_s
     if content_age.outage_start_s is not None:
         return False
     content_age.outage_start_s = sent_s
     return True
 
 
+def absence_deadline_s(
+    content_age: ContentAge, now_s: float, lapse_s: float
+) -> float | None:
+    """Return until when a key that was removed may be written again.
+
+    While the store is away, keys may lapse although their owners are alive. The
+    first answer after an outage tells of these; whether it was the store that
+    was away, or only this process that did not reach it, can't be told apart. A
+    removal that is told later happened while the store answered: it is final.
+
+    To be called before the answer that tells of the removal is recorded.
+
+    :param content_age: The record of the content's age.
+    :param now_s: The current time.
+    :param lapse_s: The shortest outage in which a key of a live owner can lapse.
+    :returns: None if the removal is final.
+    """
+    start_s = content_age.outage_start_s
+    if start_s is None or now_s - start_s < lapse_s:
+        return None
+    deadline_s = content_age.unanswered_s + RETURN_LIMIT_S
+    return deadline_s if now_s < deadline_s else None
+
+
 def age_s(content_age: ContentAge, now_s: float) -> float:
     """Return the age of the content in seconds.
 
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from camphorstair.fleet import dispatch, quarantining, state
+from camphorstair.fleet import dispatch, joining, quarantining, state
 from camphorstair_core import decoding, vms
 from camphorstair_core.fleet import (
     membership,
@@ -30,6 +30,9 @@
 
 # Prefixes of all keys that an entry reads, for itself and for agents.
 PREFIXES = (configuration.PREFIX, registrations.PREFIX, keys.PREFIX)
+# A registration lapses after three heartbeats have failed to come, the first of
+# which may have been due when an outage began.
+LAPSE_HEARTBEATS = 2
 
 _LOG = logging.getLogger(__name__)
 
@@ -154,10 +157,7 @@
         """
         name = item.key.removeprefix(registrations.PREFIX)
         if item.content is None:
-            roster.unregister(
-                self.entry.endpoints, name, self.mirror.absent_deadline_s()
-            )
-            _LOG.info('endpoint gone', extra={'endpoint': name})
+            self._remove_endpoint(name, item.revision)
             return
         try:
             registration = registrations.decode(name, item.content)
@@ -173,12 +173,30 @@
             extra={'endpoint': name, 'revision': item.revision},
         )
 
+    def _remove_endpoint(self, name: str, revision: int) -> None:
+        """Remove an endpoint, at once unless its registration may have lapsed."""
+        heartbeat_s = self.entry.settings.heartbeat_s
+        deadline_s = self.mirror.absent_deadline_s(
+            heartbeat_s * LAPSE_HEARTBEATS
+        )
+        roster.unregister(self.entry.endpoints, name, deadline_s)
+        _LOG.info(
+            'endpoint gone',
+            extra={
+                'endpoint': name,
+                'revision': revision,
+                'kept_s': _kept_s(deadline_s),
+            },
+        )
+
     def _apply_member(self, item: store_copy.Item) -> None:
         """Apply a change of a member's key; update the count of entries."""
         name = member_rows.name_of(item)
         members = self.entry.members
+        deadline_s = None
         if item.content is None:
-            membership.leave(members, name, self.mirror.absent_deadline_s())
+            deadline_s = self.mirror.absent_deadline_s(joining.LAPSE_S)
+            membership.leave(members, name, deadline_s)
         else:
             membership.join(members, member_rows.decode(item))
         now_s = clocks.monotonic_s()
@@ -186,5 +204,16 @@
         _LOG.info(
             'member %s',
             'gone' if item.content is None else 'joined',
-            extra={'member': name, 'members': len(members.present)},
+            extra={
+                'member': name,
+                'members': len(members.present),
+                'kept_s': _kept_s(deadline_s),
+            },
         )
+
+
+def _kept_s(deadline_s: float | None) -> float:
+    """Return for how long a removed key still counts, for the log."""
+    if deadline_s is None:
+        return 0
+    return round(deadline_s - clocks.monotonic_s(), 3)
--- a/packages/entry/src/camphorstair/fleet/joining.py
+++ b/packages/entry/src/camphorstair/fleet/joining.py
@@ -15,6 +15,9 @@
 # lease has ended.
 TTL_S = 2.0
 RENEW_INTERVAL_S = 0.6
+# Shortest outage of the store in which the lease of a live entry can end: the
+# last renewal before it may have been missed.
+LAPSE_S = TTL_S - 2 * RENEW_INTERVAL_S
 # Interval between checks whether the entry is ready.
 READY_POLL_INTERVAL_S = 0.02
 # Longest wait for the store to remove the key.
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -69,22 +69,20 @@
         """Return whether all keys were read at least once."""
         return self.known.rows_era >= 0
 
-    def absent_deadline_s(self) -> float | None:
-        """Return until when a removed key may be written again.
+    def absent_deadline_s(self, lapse_s: float) -> float | None:
+        """Return until when a key whose removal is applied may be written again.
 
-        Leases may end during an outage of the store although their owners are
-        alive; the owners write their keys again afterwards.
-
-        :returns: A time of the monotonic clock; None if there was no recent
-            outage, so that the removal is final.
+        :param lapse_s: The shortest outage of the store in which a key of a
+            live owner can lapse.
+        :returns: A time of the monotonic clock; None if the removal is final.
         """
-        since_outage_s = clocks.boottime_s() - self.freshness.outage_end_s
-        if (
-            self.freshness.outage_start_s is None
-            and since_outage_s > store_copy.RETURN_LIMIT_S
-        ):
+        now_s = clocks.boottime_s()
+        deadline_s = content_age.absence_deadline_s(
+            self.freshness, now_s, lapse_s
+        )
+        if deadline_s is None:
             return None
-        return clocks.monotonic_s() + store_copy.RETURN_LIMIT_S
+        return clocks.monotonic_s() + deadline_s - now_s
 
     async def wait_round(self, limit_s: float) -> None:
         """Wait until the current round ends, but not longer than a limit."""
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -138,7 +138,7 @@
     assert content_age.record_failure(data_age, 1)
     assert not content_age.record_failure(data_age, 2)
     assert content_age.record_confirmation(data_age, 3, 4)
-    assert data_age.outage_end_s == 4
+    assert (data_age.outage_start_s, data_age.unanswered_s) == (None, 2)
     assert not content_age.record_confirmation(data_age, 5, 6)
 
 
