Refuse answers whose status has no meaning

Cause: h11 accepts final statuses up to 999, and an attempt takes every status that is no success for a failure of the endpoint, to be passed on.

Fix: http_client.read_head, which reads the answers of endpoints, of the store and of peers, refuses a status over 599; the attempt has failed and may have run.

--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -25,6 +25,8 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # 1xx responses that are skipped before the response.
 MAX_INTERIM_RESPONSES = 32
+# Highest status code that has a meaning; h11 accepts higher ones, too.
+MAX_STATUS = 599
 _BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
@@ -361,12 +363,14 @@
     :param exchange: The exchange that sent the request.
     :param request: The request; the response to HEAD has no body.
     :raises HttpError: if the connection ends or fails before the response head
-        is read, if the response violates the protocol, or if there are more
-        than ``MAX_INTERIM_RESPONSES``.
+        is read, if the response violates the protocol or its status is over
+        ``MAX_STATUS``, or if there are more than ``MAX_INTERIM_RESPONSES``.
     """
     event = await _first_final(exchange)
     if not isinstance(event, h11.Response):
         raise HttpError('the connection ended without a response', sent=True)
+    if event.status_code > MAX_STATUS:
+        raise HttpError(f'unknown status {event.status_code}', sent=True)
     exchange.responses += 1
     exchange.status = event.status_code
     exchange.headers = [
