Bound what is kept of all answers together

What callers saw, on another system: endpoints sent bytes without end, the machine that had called them ran out of memory, and the requests of others ended with it.

Cause: whole answers were kept with a bound each; a body that was given up stayed in the frame that its error's traceback keeps; skipped answers were kept whole.

Bodies that are given up are cleared.

--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -1,5 +1,6 @@
 """One attempt: sends a request to an endpoint and relays the answer."""
 
+import functools
 import http
 import logging
 
@@ -254,7 +255,7 @@
         if self.call.streaming():
             await self._relay_stream(exchange)
         else:
-            whole = await _read_response(exchange, self.call.held)
+            whole = await self._read_response(exchange)
             self.first_part_s = clocks.monotonic_s()
             self.progress.note_complete()
             await self.call.responder.respond(whole)
@@ -269,7 +270,7 @@
         whole = None
         if not answer.not_run:
             verdict = verdicts.Verdict.ran
-            whole = await _read_response(exchange, self.call.held)
+            whole = await self._read_response(exchange)
         raise attempt_errors.AttemptError(
             f'status {answer.status}',
             verdict,
@@ -277,13 +278,35 @@
             misdirected=answer.status == http.HTTPStatus.MISDIRECTED_REQUEST,
         )
 
+    async def _read_response(
+        self, exchange: http_client.Exchange
+    ) -> http_messages.Response:
+        """Read the whole body and return the response for the caller.
+
+        Wait while too much is kept of all answers together.
+
+        :raises http_client.HttpError: if it is incomplete or too long.
+        """
+        call = self.call
+        call.kept_answer.is_complete = False
+        keep = functools.partial(self.entry.kept_answers.keep, call.kept_answer)
+        if call.held is None:
+            body = await exchange.read_all(keep)
+        else:
+            body = await call.held.read_whole(exchange, keep)
+        call.kept_answer.is_complete = True
+        response_headers = headers.for_caller(exchange.headers)
+        return http_messages.Response(exchange.status, response_headers, body)
+
     async def _relay_stream(self, exchange: http_client.Exchange) -> None:
         """Send the whole events of a stream to the caller.
 
         :raises http_client.HttpError: if the stream is incomplete or may be
             so, as the attempt was aborted.
         """
-        relay = stream_relaying.StreamRelay(self.call, exchange, self.progress)
+        relay = stream_relaying.StreamRelay(
+            self.call, exchange, self.progress, self.entry.kept_answers
+        )
         relay.check_head()
         try:
             await relay.run()
@@ -301,19 +324,6 @@
     return http.HTTPStatus.OK <= status < http.HTTPStatus.MULTIPLE_CHOICES
 
 
-async def _read_response(
-    exchange: http_client.Exchange,
-    held: holding.Holding | None,
-) -> http_messages.Response:
-    """Read the whole body and return the response for the caller."""
-    if held is None:
-        body = await exchange.read_all()
-    else:
-        body = await held.read_whole(exchange)
-    response_headers = headers.for_caller(exchange.headers)
-    return http_messages.Response(exchange.status, response_headers, body)
-
-
 def _failure(error: Exception, *, sent: bool) -> attempt_errors.AttemptError:
     """Return the error for an attempt without a complete answer.
 
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -3,7 +3,7 @@
 import attrs
 
 from camphorstair.fleet import holding
-from camphorstair_core import verdicts
+from camphorstair_core import byte_budget, verdicts
 from camphorstair_core.fleet import (
     catalogue,
     request_identity,
@@ -38,6 +38,7 @@
         begun to receive; empty before.
     :ivar work: Its estimated work; unknown if its service is not ranked.
     :ivar held: What is held for slow peers; None if it is not bounded.
+    :ivar kept_answer: What is kept of the answers until they are passed on.
     :ivar attempts: Number of finished attempts that sent the request.
     :ivar sent: Whether the current attempt has begun to send the request and
         has not failed.
@@ -60,6 +61,7 @@
     work: work_estimates.Work
     stream_kind: str = ''
     held: holding.Holding | None = None
+    kept_answer: byte_budget.Account = attrs.field(factory=byte_budget.Account)
     attempts: int = 0
     sent: bool = False
     verdict: verdicts.Verdict = verdicts.Verdict.not_run
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -15,7 +15,6 @@
 
 from camphorstair_core.fleet import held_bytes
 from camphorstair_runtime import (
-    body_bounds,
     closing,
     http_client,
     http_messages,
@@ -189,14 +188,18 @@
             and not self.sending_body
         )
 
-    async def read_whole(self, exchange: http_client.Exchange) -> bytes:
+    async def read_whole(
+        self, exchange: http_client.Exchange, keep: http_client.Keep
+    ) -> bytes:
         """Return the rest of a response body, or nothing after the end.
 
+        :param exchange: The exchange with the endpoint.
+        :param keep: Called with the size of each part before it is kept.
         :raises http_client.HttpError: if it is incomplete or too long.
         """
         self._release_whole()
         try:
-            return await self._read_whole(exchange)
+            return await self._read_whole(exchange, keep)
         except http_client.HttpError:
             self._release_whole()
             raise
@@ -228,19 +231,15 @@
         """Return whether held bytes are still written to the caller."""
         return self.failure is None and not self.account.ended
 
-    async def _read_whole(self, exchange: http_client.Exchange) -> bytes:
-        body = bytearray()
-        bound = body_bounds.BodyBound(http_client.MAX_BODY_BYTES)
-        chunk = await exchange.read()
-        while chunk is not None:
-            http_client.count_part(bound, chunk)
-            body += chunk
-            self._whole_bytes += len(chunk)
-            await self.answers.hold(self.account, len(chunk))
-            if self.account.ended:
-                body.clear()
-            chunk = await exchange.read()
-        return bytes(body)
+    async def _read_whole(
+        self, exchange: http_client.Exchange, keep: http_client.Keep
+    ) -> bytes:
+        async def hold(size_bytes: int) -> None:
+            await keep(size_bytes)
+            self._whole_bytes += size_bytes
+            await self.answers.hold(self.account, size_bytes)
+
+        return await exchange.read_all(hold)
 
     def _release_whole(self) -> None:
         """Release a whole answer; what can't be written is held anew."""
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -68,6 +68,8 @@
             await self._refuse_call(call, self._timeout_error(call))
         except errors.RequestError as failure:
             await self._refuse_call(call, failure)
+        finally:
+            await self.entry.kept_answers.free(call.kept_answer)
 
     async def _forward_bounded(self, call: calls.Call) -> None:
         """Forward a request and bound what is held for slow peers.
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -25,7 +25,7 @@
     windows,
 )
 from camphorstair_platform import boot
-from camphorstair_runtime import clocks
+from camphorstair_runtime import clocks, http_client, kept_messages
 
 # Moves a request to another endpoint; returns whether it did.
 Move = abc.Callable[[], bool]
@@ -61,6 +61,8 @@
     :ivar connection_pool: Pool of idle connections to endpoints.
     :ivar crashes: What is known of endpoints that crash under requests.
     :ivar held: What is held for peers that read slowly.
+    :ivar kept_answers: What is kept of endpoints' answers until they have come
+        whole and were passed on.
     :ivar leaving: Whether the entry is shutting down.
     :ivar refuse_from_s: When a shutdown begins to refuse new requests, as there
         may be too little time left for their answers; monotonic clock.
@@ -92,6 +94,12 @@
     held: holding.HeldAnswers = attrs.Factory(
         lambda entry: holding.within(entry.settings.memory_mb), takes_self=True
     )
+    kept_answers: kept_messages.KeptMessages = attrs.Factory(
+        lambda entry: kept_messages.within(
+            entry.settings.memory_mb, http_client.MAX_BODY_BYTES
+        ),
+        takes_self=True,
+    )
     leaving: bool = False
     refuse_from_s: float = math.inf
     _shares: dict[str, subsetting.SharesByEndpoint] = attrs.field(factory=dict)
--- a/packages/entry/src/camphorstair/fleet/stream_relaying.py
+++ b/packages/entry/src/camphorstair/fleet/stream_relaying.py
@@ -11,6 +11,7 @@
     clocks,
     http_client,
     http_messages,
+    kept_messages,
 )
 
 # Longest event of a stream. A faulty endpoint may send bytes without end.
@@ -25,6 +26,7 @@
     :ivar exchange: The connection to the endpoint, whose answer's head was
         read.
     :ivar progress: The progress of the answer.
+    :ivar kept_answers: What is kept of all answers together.
     :ivar first_part_s: When the first event was sent to the caller; 0 before,
         and if an earlier attempt has begun the answer.
     :ivar splitter: Splits the received bytes into events.
@@ -33,6 +35,7 @@
     call: calls.Call
     exchange: http_client.Exchange
     progress: answer_progress.AnswerProgress
+    kept_answers: kept_messages.KeptMessages
     first_part_s: float = 0
     splitter: event_stream.EventSplitter = attrs.field(
         factory=event_stream.EventSplitter
@@ -64,10 +67,12 @@
             events = self.splitter.feed(chunk)
             if events:
                 bound = _event_bound()
+                await self._free_kept()
                 self.progress.note_events()
                 await self._send_events(self._take(events, resumed=resumed))
             else:
                 http_client.count_part(bound, chunk)
+                await self.kept_answers.keep(self.call.kept_answer, len(chunk))
             chunk = await self._read()
 
     async def finish(self) -> None:
@@ -106,6 +111,11 @@
             await self.call.held.wait_room()
         return await self.exchange.read()
 
+    async def _free_kept(self) -> None:
+        """Free the parts of an event that has come whole."""
+        if self.call.kept_answer.kept_bytes:
+            await self.kept_answers.free(self.call.kept_answer)
+
     async def _send_events(self, events: bytes) -> None:
         """Send events to the caller, after the head if it was not sent."""
         if not events:
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -33,6 +33,10 @@
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
 
+# Waits until a part of a body of the given size may be kept.
+Keep = abc.Callable[[int], abc.Awaitable[None]]
+
+
 class HttpError(Exception):
     """A request could not be sent or its response could not be read.
 
@@ -109,20 +113,34 @@
             return None
         raise HttpError('the response body is incomplete', sent=True)
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, keep: Keep | None = None) -> bytes:
         """Return the rest of the response body.
 
+        :param keep: Called with the size of each part before it is kept; may
+            wait until there is room.
         :raises HttpError: if the body is truncated or possibly truncated, or
             too large to be kept in memory.
         """
         body = bytearray()
+        try:
+            await self._read_into(body, keep)
+        except BaseException:
+            # The traceback may stay for long, and with it this frame.
+            body.clear()
+            raise
+        return bytes(body)
+
+    async def discard(self) -> None:
+        """Read the rest of the response body without keeping it.
+
+        :raises HttpError: if the body is truncated or possibly truncated, or
+            too large to be kept in memory.
+        """
         bound = body_bounds.BodyBound(MAX_BODY_BYTES)
         chunk = await self.read()
         while chunk is not None:
-            body.extend(chunk)
             count_part(bound, chunk)
             chunk = await self.read()
-        return bytes(body)
 
     async def close(self) -> None:
         """Close the connection."""
@@ -139,6 +157,17 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpError(str(error), sent=True) from error
 
+    async def _read_into(self, body: bytearray, keep: Keep | None) -> None:
+        """Add the rest of the response body to what was read of it."""
+        bound = body_bounds.BodyBound(MAX_BODY_BYTES)
+        chunk = await self.read()
+        while chunk is not None:
+            count_part(bound, chunk)
+            if keep is not None:
+                await keep(len(chunk))
+            body.extend(chunk)
+            chunk = await self.read()
+
     def _check_framing(self) -> None:
         """Reject a body that only the end of the connection delimits.
 
@@ -225,7 +254,7 @@
     :param request: The request, already sent, whose response comes next.
     :raises HttpError: if reading either response fails.
     """
-    await exchange.read_all()
+    await exchange.discard()
     try:
         exchange.protocol.start_next_cycle()
         # Advance the protocol state; the request itself was already sent.
