Take only requests that can end before a planned stop does

What callers saw, in the users' measurement: answers of 5.5 s begun 2 to 3 s after a SIGTERM were cut at 7.3 s with no answer.

Cause: for 3 s after the signal an entry took every request, however long its answer would take, and queued ones waited on; at the end it answered nobody.

--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -47,6 +47,7 @@
     :ivar work_s: Estimated time for which it occupies a slot; 0 if unknown.
     :ivar kv_tokens: Estimated KV cache that it needs, in tokens; 0 if unknown.
     :ivar identity: Digest that identifies the request when it comes again.
+    :ivar expected_answer_s: How long its answer may take, from its start.
     :ivar came_early: Whether it came back before the time that the refusal of
         its earlier attempt named.
     """
@@ -64,6 +65,7 @@
     kv_tokens: int = 0
     identity: str = ''
     came_early: bool = False
+    expected_answer_s: float = 0
 
     def untried(self) -> list[str]:
         """Return the suspects for which it is no trial."""
@@ -145,6 +147,17 @@
     waiter.latest_useful_start_s = now_s + limit_s - answer_s
 
 
+def limit_start(waiter: Waiter, stop_s: float) -> None:
+    """Let a request start only if its answer may be expected to end in time.
+
+    :param waiter: The request to update.
+    :param stop_s: When the process ends.
+    """
+    waiter.latest_useful_start_s = min(
+        waiter.latest_useful_start_s, stop_s - waiter.expected_answer_s
+    )
+
+
 def sorted_waiters(queue: Queue, now_s: float) -> list[Waiter]:
     """Return the waiting requests in the order in which they are to be sent."""
 
--- a/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
+++ b/packages/entry/src/camphorstair/fleet/attempt_outcomes.py
@@ -6,7 +6,7 @@
 
 from camphorstair.fleet import attempt_errors, attempts, calls, state
 from camphorstair_core import verdicts
-from camphorstair_core.fleet import ejection, roster
+from camphorstair_core.fleet import answer_durations, ejection, roster
 from camphorstair_runtime import clocks
 
 _LOG = logging.getLogger(__name__)
@@ -92,6 +92,8 @@
         call = self.call
         meters = self.entry.meters
         first_part_s = attempt.first_part_s - call.received_s
+        whole_s = clocks.monotonic_s() - call.received_s
+        answer_durations.record(self.entry.durations, call.route.name, whole_s)
         meters.answers.add(1, {'route': call.route.name})
         meters.queued_s.record(queued_s)
         meters.first_part_s.record(first_part_s)
@@ -106,7 +108,7 @@
                 'attempts': call.attempts,
                 'queued_s': round(queued_s, 3),
                 'first_part_s': round(first_part_s, 3),
-                'whole_s': round(clocks.monotonic_s() - call.received_s, 3),
+                'whole_s': round(whole_s, 3),
             },
         )
 
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -73,6 +73,7 @@
             waiting.set_deadlines(
                 call.waiter, call.route, clocks.monotonic_s(), call.deadline_s
             )
+            waiting.limit_start(call.waiter, self.entry.stop_s)
             try:
                 failure = await self._acquire_and_attempt()
             except errors.RequestError as refusal:
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -27,6 +27,7 @@
     relaying,
     sensing,
     state,
+    stopping,
 )
 from camphorstair_core import decoding
 from camphorstair_core.fleet import crash_reports, membership, roster
@@ -39,19 +40,12 @@
     listening,
     metrics,
     settings,
-    shutdown,
     signals,
     supervising,
 )
 
 # Interval of the periodic work.
 TICK_S = 0.1
-# Part of the grace period reserved for sending the last answers and closing the
-# connections before the process is killed.
-GRACE_RESERVE_S = 0.7
-# Callers cache directory answers for up to three times their lifetime.
-ANSWER_CACHE_FACTOR = 3
-ANSWER_SLACK_S = 0.5
 
 _LOG = logging.getLogger(__name__)
 
@@ -158,8 +152,14 @@
     signal_socket: curio.io.Socket,
 ) -> None:
     await _wait_termination(process.entry, signal_socket)
-    process.entry.leaving = True
-    await _shut_down(process)
+    await stop(process)
+
+
+async def stop(process: Process) -> None:
+    """Stop serving; requests in progress are finished as far as possible."""
+    await stopping.Stop(
+        process.entry, process.dispatcher, process.callers, process.joining
+    ).run()
 
 
 async def _wait_termination(
@@ -234,34 +234,6 @@
         await process.dispatcher.serve_queues()
 
 
-async def _shut_down(process: Process) -> None:
-    """Shut down gracefully.
-
-    Leaves the directory, serves until cached directory answers have expired,
-    refuses new requests from then on, finishes those in progress and closes
-    the connections. Requests that still run when the grace period ends, less
-    its reserve, are not waited for.
-    """
-    callers = process.callers
-    grace_s = process.entry.settings.bounds.grace_s - GRACE_RESERVE_S
-    began_s = clocks.monotonic_s()
-    deadline_s = began_s + grace_s
-    process.entry.refuse_from_s = began_s + min(
-        membership.ANSWER_TTL_S * ANSWER_CACHE_FACTOR, grace_s
-    )
-    _LOG.info('shutting down', extra={'in_progress': len(callers.active)})
-    callers.announce_close()
-    await process.joining.leave()
-    answer_cache_s = (
-        membership.ANSWER_TTL_S * ANSWER_CACHE_FACTOR + ANSWER_SLACK_S
-    )
-    await curio.sleep(min(answer_cache_s, grace_s))
-    remaining_s = max(0, deadline_s - clocks.monotonic_s())
-    await shutdown.wait_idle(lambda: len(callers.active), remaining_s)
-    callers.end_idle()
-    await shutdown.wait_closed(callers.idle_connections)
-
-
 def main() -> None:
     """Run an entry with the settings that the platform wrote."""
     told = boot.decode(boot.path().read_bytes())
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -14,6 +14,7 @@
 )
 from camphorstair_core import caller_limits
 from camphorstair_core.fleet import (
+    answer_durations,
     catalogue,
     content_age,
     ejection,
@@ -64,6 +65,10 @@
     :ivar kept_answers: What is kept of endpoints' answers until they have come
         whole and were passed on.
     :ivar leaving: Whether the entry is shutting down.
+    :ivar stop_s: When requests that still run are ended; infinite before a
+        shutdown; monotonic clock.
+    :ivar ended: Whether they are.
+    :ivar durations: How long the latest answers of each route took.
     :ivar refuse_from_s: When a shutdown begins to refuse new requests, as there
         may be too little time left for their answers; monotonic clock.
     """
@@ -102,6 +107,11 @@
     )
     leaving: bool = False
     refuse_from_s: float = math.inf
+    stop_s: float = math.inf
+    ended: bool = False
+    durations: answer_durations.AnswerDurations = attrs.field(
+        factory=answer_durations.AnswerDurations
+    )
     _shares: dict[str, subsetting.SharesByEndpoint] = attrs.field(factory=dict)
     _shares_version: tuple[int, int] = (0, 0)
 
