--- a/packages/core/src/camphorstair_core/byte_budget.py
+++ b/packages/core/src/camphorstair_core/byte_budget.py
@@ -2,15 +2,17 @@
 
 Each message has an account, from its first byte on until it was passed on. A
 message that would exceed the budget has to wait until others were passed on,
-so none is given up to make room. If all messages that take room are incomplete,
-the oldest one may grow on; otherwise none of them would ever end. The bound leaves
+so none is given up to make room. The oldest large message may always grow on;
+otherwise several incomplete ones could wait for each other. The bound leaves
 room for that one.
 """
 
 import attrs
 
-# Share of the memory for messages of one kind.
-MEMORY_SHARE = 0.125
+# Shares of the memory. A process needs the rest for itself, for what it passes
+# on at the moment and for what slow peers have not read yet.
+REQUESTS_SHARE = 0.25
+ANSWERS_SHARE = 0.125
 # Memory that is assumed if the settings name none: that of the smallest VM.
 DEFAULT_MEMORY_MB = 152.0
 # Up to this size a message never waits, so that large ones don't delay it.
@@ -23,12 +25,10 @@
     """What is kept of one message.
 
     :ivar kept_bytes: Bytes kept now.
-    :ivar is_complete: Whether the message has come whole.
     :ivar has_waited: Whether it has had to wait for room.
     """
 
     kept_bytes: int = 0
-    is_complete: bool = False
     has_waited: bool = False
 
 
@@ -47,14 +47,15 @@
     large: dict[Account, None] = attrs.field(factory=dict)
 
 
-def bound_bytes(memory_mb: float, largest_bytes: int) -> int:
+def bound_bytes(memory_mb: float, share: float, largest_bytes: int) -> int:
     """Return the bound of the total, without the message that may exceed it.
 
     :param memory_mb: Memory of the process; 0 if it is unknown.
+    :param share: The share of it.
     :param largest_bytes: Size of the largest message.
     """
     memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * _BYTES_PER_MIB
-    share_bytes = int(memory_bytes * MEMORY_SHARE)
+    share_bytes = int(memory_bytes * share)
     return max(SMALL_BYTES, share_bytes - largest_bytes)
 
 
@@ -70,8 +71,6 @@
     budget.large[account] = None
     if budget.total_bytes + size_bytes <= budget.bound_bytes:
         return True
-    if any(other.is_complete for other in budget.large):
-        return False
     return account is next(iter(budget.large))
 
 
@@ -85,6 +84,5 @@
     """Count a message as passed on or given up; its account may be used anew."""
     budget.total_bytes -= account.kept_bytes
     account.kept_bytes = 0
-    account.is_complete = False
     account.has_waited = False
     budget.large.pop(account, None)
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -288,13 +288,11 @@
         :raises http_client.HttpError: if it is incomplete or too long.
         """
         call = self.call
-        call.kept_answer.is_complete = False
         keep = functools.partial(self.entry.kept_answers.keep, call.kept_answer)
         if call.held is None:
             body = await exchange.read_all(keep)
         else:
             body = await call.held.read_whole(exchange, keep)
-        call.kept_answer.is_complete = True
         response_headers = headers.for_caller(exchange.headers)
         return http_messages.Response(exchange.status, response_headers, body)
 
--- a/packages/entry/src/camphorstair/fleet/gauges.py
+++ b/packages/entry/src/camphorstair/fleet/gauges.py
@@ -31,6 +31,7 @@
     gauge('ejected_endpoints', lambda: _ejected_count(entry))
     gauge('quarantined_parts', lambda: len(entry.crashes.quarantined.holds))
     gauge('held_bytes', lambda: entry.held.totals.total_bytes)
+    gauge('kept_request_bytes', lambda: entry.kept_requests.budget.total_bytes)
     gauge('kept_answer_bytes', lambda: entry.kept_answers.budget.total_bytes)
     gauge('members', lambda: len(entry.members.present))
 
--- a/packages/entry/src/camphorstair/fleet/holding.py
+++ b/packages/entry/src/camphorstair/fleet/holding.py
@@ -19,6 +19,7 @@
     http_client,
     http_messages,
     http_server,
+    request_reading,
     sockets,
 )
 
@@ -189,7 +190,7 @@
         )
 
     async def read_whole(
-        self, exchange: http_client.Exchange, keep: http_client.Keep
+        self, exchange: http_client.Exchange, keep: request_reading.Keep
     ) -> bytes:
         """Return the rest of a response body, or nothing after the end.
 
@@ -205,7 +206,7 @@
             raise
 
     async def send_body(self, sock: curio.io.Socket, content: bytes) -> None:
-        """Send a request to an endpoint; what it does not read is held.
+        """Send a part of a request to an endpoint that may read slowly.
 
         :raises OSError: if the connection fails.
         """
@@ -215,16 +216,9 @@
         self.sending_body = True
         self.slow_endpoint = True
         sockets.set_user_timeout(sock, 0)
-        await self.answers.hold(self.account, len(rest))
-        held = len(rest)
         try:
-            while rest:
-                sent = await sock.send(rest[:WRITE_BYTES])
-                rest = rest[sent:]
-                held -= sent
-                held_bytes.release(self.answers.totals, self.account, sent)
+            await sock.sendall(rest)
         finally:
-            held_bytes.release(self.answers.totals, self.account, held)
             self.sending_body = False
 
     def _writes(self) -> bool:
@@ -232,7 +226,7 @@
         return self.failure is None and not self.account.ended
 
     async def _read_whole(
-        self, exchange: http_client.Exchange, keep: http_client.Keep
+        self, exchange: http_client.Exchange, keep: request_reading.Keep
     ) -> bytes:
         async def hold(size_bytes: int) -> None:
             await keep(size_bytes)
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -11,6 +11,7 @@
     calls,
     dispatch,
     forwarding,
+    holding,
     state,
 )
 from camphorstair_core import errors, verdicts
@@ -19,7 +20,12 @@
     held_bytes,
 )
 from camphorstair_platform import headers
-from camphorstair_runtime import clocks, http_messages, http_server
+from camphorstair_runtime import (
+    clocks,
+    http_messages,
+    http_server,
+    tracebacks,
+)
 
 # Time after the deadline for the endpoint to answer that it stopped.
 ENDPOINT_GRACE_S = 0.1
@@ -102,9 +108,13 @@
         request_forwarding = forwarding.Forwarding(
             self.entry, self.dispatcher, call
         )
-        async with curio.TaskGroup(wait=any) as group:
-            running = await group.spawn(_run_to_outcome, request_forwarding)
-            await group.spawn(_wait_disconnected, call)
+        group = curio.TaskGroup(wait=any)
+        try:
+            async with group:
+                running = await group.spawn(_run_to_outcome, request_forwarding)
+                await group.spawn(_wait_disconnected, call.responder, call.held)
+        finally:
+            tracebacks.clear_locals(task.exception for task in group.tasks)
         if running.cancelled:
             raise self._interruption(call)
         if running.exception is not None:
@@ -186,14 +196,16 @@
         )
 
 
-async def _wait_disconnected(call: calls.Call) -> None:
+async def _wait_disconnected(
+    responder: http_server.Responder, held: holding.Holding | None
+) -> None:
     """Return when the caller has closed the connection.
 
     Never return if the endpoint's answer is to be read to its end although it
     was ended.
     """
-    await call.responder.wait_disconnected()
-    if call.held is not None and call.held.reads_on():
+    await responder.wait_disconnected()
+    if held is not None and held.reads_on():
         await curio.Event().wait()
 
 
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -91,7 +91,10 @@
         entry,
         dispatcher,
         http_server.Server(
-            receiver.handle, entry.caller_limits, refuses_late_requests=False
+            receiver.handle,
+            entry.caller_limits,
+            refuses_late_requests=False,
+            bodies=entry.kept_requests,
         ),
         joining.EntryMembership(entry, store.StoreClient(told.store.address)),
         following.Follower(entry, dispatcher),
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -12,7 +12,7 @@
     holding,
     instruments,
 )
-from camphorstair_core import caller_limits
+from camphorstair_core import byte_budget, caller_limits
 from camphorstair_core.fleet import (
     answer_durations,
     catalogue,
@@ -62,6 +62,8 @@
     :ivar connection_pool: Pool of idle connections to endpoints.
     :ivar crashes: What is known of endpoints that crash under requests.
     :ivar held: What is held for peers that read slowly.
+    :ivar kept_requests: What is kept of callers' requests until they are
+        answered.
     :ivar kept_answers: What is kept of endpoints' answers until they have come
         whole and were passed on.
     :ivar leaving: Whether the entry is shutting down.
@@ -99,11 +101,11 @@
     held: holding.HeldAnswers = attrs.Factory(
         lambda entry: holding.within(entry.settings.memory_mb), takes_self=True
     )
+    kept_requests: kept_messages.KeptMessages = attrs.Factory(
+        lambda entry: _kept(entry, byte_budget.REQUESTS_SHARE), takes_self=True
+    )
     kept_answers: kept_messages.KeptMessages = attrs.Factory(
-        lambda entry: kept_messages.within(
-            entry.settings.memory_mb, http_client.MAX_BODY_BYTES
-        ),
-        takes_self=True,
+        lambda entry: _kept(entry, byte_budget.ANSWERS_SHARE), takes_self=True
     )
     leaving: bool = False
     refuse_from_s: float = math.inf
@@ -242,3 +244,10 @@
         return self.cold_sends.setdefault(
             endpoint, windows.SlidingWindow(COLD_WINDOW_S)
         )
+
+
+def _kept(entry: FleetEntry, share: float) -> kept_messages.KeptMessages:
+    """Return what is kept of messages, with a share of the VM's memory."""
+    return kept_messages.within(
+        entry.settings.memory_mb, share, http_client.MAX_BODY_BYTES
+    )
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -23,6 +23,8 @@
 # Longest body that is kept in memory. A faulty server may send bytes without
 # end.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A request body of this size is not sent in one part with its head.
+MAX_JOINED_BYTES = 65536
 # 1xx responses that are skipped before the response.
 MAX_INTERIM_RESPONSES = 32
 # Highest status code that has a meaning; h11 accepts higher ones, too.
@@ -33,10 +35,6 @@
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
 
-# Waits until a part of a body of the given size may be kept.
-Keep = abc.Callable[[int], abc.Awaitable[None]]
-
-
 class HttpError(Exception):
     """A request could not be sent or its response could not be read.
 
@@ -113,7 +111,7 @@
             return None
         raise HttpError('the response body is incomplete', sent=True)
 
-    async def read_all(self, keep: Keep | None = None) -> bytes:
+    async def read_all(self, keep: request_reading.Keep | None = None) -> bytes:
         """Return the rest of the response body.
 
         :param keep: Called with the size of each part before it is kept; may
@@ -157,7 +155,9 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpError(str(error), sent=True) from error
 
-    async def _read_into(self, body: bytearray, keep: Keep | None) -> None:
+    async def _read_into(
+        self, body: bytearray, keep: request_reading.Keep | None
+    ) -> None:
         """Add the rest of the response body to what was read of it."""
         bound = body_bounds.BodyBound(MAX_BODY_BYTES)
         chunk = await self.read()
@@ -354,11 +354,12 @@
     """
     write = write or exchange.sock.sendall
     try:
-        content = _encode_request(exchange, host, request)
+        parts = _encode_request(exchange, host, request)
     except (h11.LocalProtocolError, UnicodeError) as fault:
         raise UnsendableError(f'request to {host}: {fault}') from fault
     try:
-        await write(content)
+        for part in parts:
+            await write(part)
     except OSError as error:
         raise HttpError(f'send to {host}: {error}', sent=True) from error
 
@@ -367,7 +368,11 @@
     exchange: Exchange,
     host: str,
     request: http_messages.Request,
-) -> bytes:
+) -> list[bytes]:
+    """Return what is sent for a request: one part, or a long body by itself.
+
+    A long body is not copied.
+    """
     headers = [
         ('host', host),
         *http_messages.end_to_end(request.headers),
@@ -379,8 +384,12 @@
         headers=http_messages.encoded(headers),
     )
     protocol = exchange.protocol
-    parts = (head, h11.Data(data=request.body), h11.EndOfMessage())
-    return b''.join(protocol.send(part) or b'' for part in parts)
+    encoded_head = protocol.send(head) or b''
+    body = protocol.send(h11.Data(data=request.body)) or b''
+    protocol.send(h11.EndOfMessage())
+    if len(body) < MAX_JOINED_BYTES:
+        return [encoded_head + body]
+    return [encoded_head, body]
 
 
 async def read_head(
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on h11 and curio."""
 
+import functools
 import http
 import logging
 import socket
@@ -10,17 +11,21 @@
 import curio
 import h11
 
-from camphorstair_core import caller_limits, errors
+from camphorstair_core import byte_budget, caller_limits, errors
 from camphorstair_runtime import closing as connection_closing
 from camphorstair_runtime import (
     fairness,
     http_messages,
+    kept_messages,
     request_reading,
     sockets,
 )
 
 MAX_PIPELINED_BYTES = 65536
 DRAIN_LIMIT_S = 2.0
+# Longest wait until a request's body may be kept.
+ROOM_LIMIT_S = 0.5
+ROOM_RETRY_AFTER_S = 0.5
 _OLD_VERSION = b'1.0'
 _REASONS = types.MappingProxyType(
     {status.value: status.phrase for status in http.HTTPStatus}
@@ -131,6 +136,8 @@
     :ivar limits: Returns the current limits for callers.
     :ivar refuses_late_requests: Whether an error response is sent before an
         idle connection is closed, since a request may already be in transit.
+    :ivar bodies: Bounds the bodies of all requests together; None if it is not
+        bounded.
     :ivar closing: Whether responses carry ``connection: close``.
     :ivar ended: Whether idle connections are closed instead of waiting for
         the next request.
@@ -145,6 +152,7 @@
         caller_limits.CallerLimits
     )
     refuses_late_requests: bool = True
+    bodies: kept_messages.KeptMessages | None = None
     closing: bool = False
     ended: bool = False
     idle: set[curio.io.Socket] = attrs.field(factory=set)
@@ -252,14 +260,59 @@
         return bool(chunk)
 
     async def _serve_request(self, responder: Responder) -> None:
+        if self.bodies is None:
+            await self._read_and_handle(responder)
+            return
+        account = byte_budget.Account()
+        keep = functools.partial(_keep_body, self.bodies, account)
+        try:
+            await self._read_and_handle(responder, keep)
+        finally:
+            await self.bodies.free(account)
+
+    async def _read_and_handle(
+        self, responder: Responder, keep: request_reading.Keep | None = None
+    ) -> None:
+        """Read a request and let it be answered.
+
+        :param responder: Sends the response.
+        :param keep: Called before the body, or a part of it, is kept.
+        """
         try:
             request = await request_reading.read(
-                responder.sock, responder.protocol, self.limits()
+                responder.sock, responder.protocol, self.limits(), keep
             )
         except errors.RequestError as error:
             await _send_error(responder, error)
             return
-        await self.handler(request, responder)
+        try:
+            await self.handler(request, responder)
+        finally:
+            # Tracebacks may keep the request for long.
+            request.body = b''
+
+
+async def _keep_body(
+    bodies: kept_messages.KeptMessages,
+    account: byte_budget.Account,
+    size_bytes: int,
+) -> None:
+    """Wait until a part of a request's body may be kept.
+
+    :raises errors.RequestError: if there is no room in time.
+    """
+    if bodies.try_keep(account, size_bytes):
+        return
+    try:
+        await curio.timeout_after(
+            ROOM_LIMIT_S, bodies.keep, account, size_bytes
+        )
+    except curio.TaskTimeout as expired:
+        raise errors.RequestError(
+            errors.overloaded,
+            'the bodies of other requests take all room',
+            retry_after_s=ROOM_RETRY_AFTER_S,
+        ) from expired
 
 
 def _reason(status: int) -> str:
--- a/packages/runtime/src/camphorstair_runtime/kept_messages.py
+++ b/packages/runtime/src/camphorstair_runtime/kept_messages.py
@@ -30,10 +30,21 @@
         :param account: The account of the message.
         :param size_bytes: How much more.
         """
-        while not byte_budget.may_keep(self.budget, account, size_bytes):
+        while not self.try_keep(account, size_bytes):
             self._note_waiting(account)
             await self._changed.wait()
-        byte_budget.keep(self.budget, account, size_bytes)
+
+    def try_keep(self, account: byte_budget.Account, size_bytes: int) -> bool:
+        """Count more of a message if it may be kept now.
+
+        :param account: The account of the message.
+        :param size_bytes: How much more.
+        :returns: Whether it may be kept.
+        """
+        may_keep = byte_budget.may_keep(self.budget, account, size_bytes)
+        if may_keep:
+            byte_budget.keep(self.budget, account, size_bytes)
+        return may_keep
 
     async def free(self, account: byte_budget.Account) -> None:
         """Free an account, and let those that wait for room go on."""
@@ -60,11 +71,12 @@
         )
 
 
-def within(memory_mb: float, largest_bytes: int) -> KeptMessages:
+def within(memory_mb: float, share: float, largest_bytes: int) -> KeptMessages:
     """Return the kept messages of a process.
 
     :param memory_mb: Memory of the process; 0 if it is unknown.
+    :param share: The share of it that they may take.
     :param largest_bytes: Size of the largest message.
     """
-    bound_bytes = byte_budget.bound_bytes(memory_mb, largest_bytes)
+    bound_bytes = byte_budget.bound_bytes(memory_mb, share, largest_bytes)
     return KeptMessages(byte_budget.Budget(bound_bytes))
--- a/packages/runtime/src/camphorstair_runtime/request_reading.py
+++ b/packages/runtime/src/camphorstair_runtime/request_reading.py
@@ -13,6 +13,10 @@
 READ_BYTES = 65536
 
 
+# Waits until a part of a body of the given size may be kept.
+Keep = abc.Callable[[int], abc.Awaitable[None]]
+
+
 class IncompleteError(Exception):
     """The connection ended before a request was complete."""
 
@@ -39,6 +43,7 @@
     sock: curio.io.Socket,
     protocol: h11.Connection,
     limits: caller_limits.CallerLimits,
+    keep: Keep | None = None,
 ) -> http_messages.Request:
     """Return the next request with its complete body.
 
@@ -47,6 +52,8 @@
     :param sock: The caller's socket.
     :param protocol: State of the HTTP connection.
     :param limits: The limits of the request's sizes and times.
+    :param keep: Called with the size of the body, or of each of its parts,
+        before it is kept; may wait until there is room, or refuse the request.
     :raises errors.RequestError: if the request exceeds a limit or violates
         the protocol.
     :raises IncompleteError: if the connection ends before the request is
@@ -54,7 +61,13 @@
     """
     try:
         return await _with_timeout(
-            limits.request_limit_s, 'request', _read, sock, protocol, limits
+            limits.request_limit_s,
+            'request',
+            _read,
+            sock,
+            protocol,
+            limits,
+            keep,
         )
     except h11.RemoteProtocolError as error:
         raise _protocol_error(error) from error
@@ -64,6 +77,7 @@
     sock: curio.io.Socket,
     protocol: h11.Connection,
     limits: caller_limits.CallerLimits,
+    keep: Keep | None,
 ) -> http_messages.Request:
     head = await _with_timeout(
         limits.head_limit_s, 'head', next_event, sock, protocol
@@ -71,6 +85,13 @@
     if not isinstance(head, h11.Request):
         raise IncompleteError('the connection ended before a request')
     _check_head(head, limits.head_bytes)
+    length_bytes = _body_length(head)
+    if length_bytes > limits.body_bytes:
+        message = f'the body is longer than {limits.body_bytes} bytes'
+        raise errors.RequestError(errors.too_large, message)
+    if length_bytes and keep is not None:
+        await keep(length_bytes)
+        keep = None
     if protocol.they_are_waiting_for_100_continue:
         continue_response = h11.InformationalResponse(
             status_code=100, headers=[]
@@ -83,7 +104,7 @@
             (_decode_latin1(name), _decode_latin1(value))
             for name, value in head.headers
         ],
-        await _read_body(sock, protocol, limits.body_bytes),
+        await _read_body(sock, protocol, limits.body_bytes, keep),
     )
 
 
@@ -120,10 +141,19 @@
         raise errors.RequestError(errors.head_too_large, message)
 
 
+def _body_length(head: h11.Request) -> int:
+    """Return the length that a head states for the body; 0 if it does not."""
+    for name, text in head.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
+
+
 async def _read_body(
     sock: curio.io.Socket,
     protocol: h11.Connection,
     limit_bytes: int,
+    keep: Keep | None,
 ) -> bytes:
     body = bytearray()
     bound = body_bounds.BodyBound(limit_bytes)
@@ -134,6 +164,8 @@
             bound.count(len(event.data))
         except body_bounds.BodyTooLargeError as error:
             raise errors.RequestError(errors.too_large, str(error)) from error
+        if keep is not None:
+            await keep(len(event.data))
         event = await next_event(sock, protocol)
     if not isinstance(event, h11.EndOfMessage):
         raise IncompleteError('the connection ended within a request body')
