--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -47,6 +47,14 @@
         self.sent = sent
 
 
+class TooLongError(HttpError):
+    """A response that has begun is too large, or takes too long to come."""
+
+    def __init__(self, message: str) -> None:
+        """Store the message; the request was sent."""
+        super().__init__(message, sent=True)
+
+
 class UnsendableError(HttpError):
     """A request that HTTP can't express; no server is at fault."""
 
@@ -182,12 +190,12 @@
 def count_part(bound: body_bounds.BodyBound, chunk: bytes) -> None:
     """Count a part of a response body that is kept in memory.
 
-    :raises HttpError: if the body is too large with it.
+    :raises TooLongError: if the body is too large with it.
     """
     try:
         bound.count(len(chunk))
     except body_bounds.BodyTooLargeError as error:
-        raise HttpError(str(error), sent=True) from error
+        raise TooLongError(str(error)) from error
 
 
 async def open_exchange(
--- a/packages/runtime/src/camphorstair_runtime/persistent_connection.py
+++ b/packages/runtime/src/camphorstair_runtime/persistent_connection.py
@@ -12,10 +12,12 @@
 
     :ivar address: ``IP:port`` of the server.
     :ivar connect_limit_s: Timeout of the connect.
+    :ivar has_begun: Whether the response to the current request has begun.
     """
 
     address: str
     connect_limit_s: float = http_client.CONNECT_LIMIT_S
+    has_begun: bool = False
     _lock: curio.Lock = attrs.field(factory=curio.Lock)
     _exchange: http_client.Exchange | None = None
 
@@ -31,6 +33,8 @@
         :param request: The request.
         :param limit_s: Timeout of the request, without the time that it waits
             for earlier requests.
+        :raises http_client.TooLongError: if the response has begun and is too
+            large, or did not come whole in time.
         :raises http_client.HttpError: if it fails or times out; the server
             may still execute the request if ``sent`` is true.
         """
@@ -41,6 +45,11 @@
             except curio.TaskTimeout as error:
                 await self.close()
                 request_line = f'{request.method} {request.target}'
+                if self.has_begun:
+                    message = (
+                        f'half a response to {request_line} in {limit_s} s'
+                    )
+                    raise http_client.TooLongError(message) from error
                 message = f'no response to {request_line} in {limit_s} s'
                 raise http_client.HttpError(message, sent=True) from error
             except (http_client.HttpError, curio.CancelledError):
@@ -58,6 +67,7 @@
         self,
         request: http_messages.Request,
     ) -> http_messages.Response:
+        self.has_begun = False
         if self._exchange is not None and self._exchange.has_input():
             # What came unasked must not be taken for the next response.
             await self.close()
@@ -70,6 +80,7 @@
                 self._exchange, self.address, request
             )
         exchange = self._exchange
+        self.has_begun = True
         body = await exchange.read_all()
         response = http_messages.Response(
             exchange.status, exchange.headers, body
