Reset connections whose answer has not come whole

Cause: a request that is given up ended with a close in good order, which delivers what is held up on the way. The same holds for calls to the store and to engines.

Fix: http_client.Exchange.close resets the connection while the response has not come whole, so that what did not arrive yet is dropped.

--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -12,6 +12,7 @@
 
 from camphorstair_runtime import (
     body_bounds,
+    closing,
     http_messages,
     request_reading,
     settings,
@@ -32,6 +33,7 @@
 _BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
+_UNFINISHED_STATES = frozenset((h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR))
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
 
@@ -149,7 +151,13 @@
             chunk = await self.read()
 
     async def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if the response has not come whole.
+
+        A request that is held up on the way is dropped then. Otherwise it would
+        arrive although nobody waits for its response.
+        """
+        if self.protocol.their_state in _UNFINISHED_STATES:
+            closing.reset_on_close(self.sock)
         await self.sock.close()
 
     async def event(self) -> object:
