Give the limit of absence a name of its own

Two limits of different values were both called RETURN_LIMIT_S: how long owners may take to write their keys after the store's return from a copy (2.5 s), and until when a key that lapsed in an outage may come back, from the last unanswered call on (2.8 s). The second is ABSENCE_LIMIT_S.

--- a/packages/core/src/camphorstair_core/fleet/content_age.py
+++ b/packages/core/src/camphorstair_core/fleet/content_age.py
@@ -6,7 +6,7 @@
 # Time after the latest unanswered call for which keys that lapsed meanwhile may
 # still be written again. Their owners do so within about two seconds of the
 # store's return, which a process notices up to a second later.
-RETURN_LIMIT_S = 2.8
+ABSENCE_LIMIT_S = 2.8
 
 
 @attrs.define
@@ -81,7 +81,7 @@
     start_s = content_age.outage_start_s
     if start_s is None or now_s - start_s < lapse_s:
         return None
-    deadline_s = content_age.unanswered_s + RETURN_LIMIT_S
+    deadline_s = content_age.unanswered_s + ABSENCE_LIMIT_S
     return deadline_s if now_s < deadline_s else None
 
 
--- a/tests/test_fleet_removals.py
+++ b/tests/test_fleet_removals.py
@@ -146,7 +146,7 @@
         await curio.sleep(1.5)
         running.register('i-1', 'plain', address)
         await running.wait_until(lambda: not known['i-1'].absent_deadline_s)
-        await curio.sleep(content_age.RETURN_LIMIT_S)
+        await curio.sleep(content_age.ABSENCE_LIMIT_S)
         assert (await running.call('/look/')).status == 200
 
     bench.run(body)
@@ -195,7 +195,7 @@
     [
         (None, 8, 9, None),
         (7, 9, 9.3, None),
-        (5, 9, 9.3, 9 + content_age.RETURN_LIMIT_S),
+        (5, 9, 9.3, 9 + content_age.ABSENCE_LIMIT_S),
         (0, 2, 9, None),
     ],
     ids=['answers', 'short', 'long', 'woken'],
