--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -80,6 +80,8 @@
             await self._refuse_call(call, failure)
         finally:
             await self.entry.kept_answers.free(call.kept_answer)
+            # Errors on their way refer to the request, and may do so for long.
+            request.body = b''
 
     async def _forward_bounded(self, call: calls.Call) -> None:
         """Forward a request and bound what is held for slow peers.
--- a/packages/runtime/src/camphorstair_runtime/http_server.py
+++ b/packages/runtime/src/camphorstair_runtime/http_server.py
@@ -285,11 +285,7 @@
         except errors.RequestError as error:
             await _send_error(responder, error)
             return
-        try:
-            await self.handler(request, responder)
-        finally:
-            # Tracebacks may keep the request for long.
-            request.body = b''
+        await self.handler(request, responder)
 
 
 async def _keep_body(
