--- a/packages/core/src/camphorstair_core/fleet/waiting.py
+++ b/packages/core/src/camphorstair_core/fleet/waiting.py
@@ -188,8 +188,13 @@
 def start(queue: Queue, waiter: Waiter) -> None:
     """Move a request from the waiting ones to those in progress."""
     queue.waiters.remove(waiter)
-    running = queue.in_progress.get(waiter.organisation, 0)
-    queue.in_progress[waiter.organisation] = running + 1
+    count_started(queue, waiter.organisation)
+
+
+def count_started(queue: Queue, organisation: str) -> None:
+    """Count a request of an organisation as in progress."""
+    running = queue.in_progress.get(organisation, 0)
+    queue.in_progress[organisation] = running + 1
 
 
 def hopeless(queue: Queue, first_turn_s: float) -> list[Waiter]:
--- a/packages/core/src/camphorstair_core/verdicts.py
+++ b/packages/core/src/camphorstair_core/verdicts.py
@@ -11,6 +11,15 @@
     ran = 'ran'
 
 
+def in_progress(verdict: Verdict, *, sent: bool) -> Verdict:
+    """Return the verdict on a request while an attempt at it is in progress.
+
+    :param verdict: The verdict on the attempts that have ended.
+    :param sent: Whether the current attempt has begun to send the request.
+    """
+    return worst(verdict, Verdict.may_have_run) if sent else verdict
+
+
 def may_retry(verdict: Verdict, *, idempotent: bool) -> bool:
     """Return whether a failed request may be attempted again.
 
--- a/packages/entry/src/camphorstair/fleet/attempts.py
+++ b/packages/entry/src/camphorstair/fleet/attempts.py
@@ -280,8 +280,8 @@
     async def _relay_stream(self, exchange: http_client.Exchange) -> None:
         """Send the whole events of a stream to the caller.
 
-        :raises http_client.HttpError: if the stream is incomplete or the
-            attempt was aborted.
+        :raises http_client.HttpError: if the stream is incomplete or may be
+            so, as the attempt was aborted.
         """
         relay = stream_relaying.StreamRelay(self.call, exchange, self.progress)
         relay.check_head()
@@ -289,7 +289,8 @@
             await relay.run()
         finally:
             self.first_part_s = relay.first_part_s
-        if self.left:
+        # The end of a framed answer can't be that of an aborted connection.
+        if self.left and not exchange.framed:
             raise http_client.HttpError(
                 'the stream was moved from a slow rank', sent=True
             )
--- a/packages/entry/src/camphorstair/fleet/calls.py
+++ b/packages/entry/src/camphorstair/fleet/calls.py
@@ -42,7 +42,7 @@
     :ivar sent: Whether the current attempt has begun to send the request and
         has not failed.
     :ivar verdict: Whether the request may have run: the worst verdict of all
-        attempts.
+        attempts that have ended.
     """
 
     request: http_messages.Request
@@ -68,6 +68,10 @@
         """Return whether the answer is an event stream."""
         return self.route.kind is catalogue.RequestKind.streaming
 
+    def verdict_now(self) -> verdicts.Verdict:
+        """Return whether the request may have run, in any attempt so far."""
+        return verdicts.in_progress(self.verdict, sent=self.sent)
+
 
 def identity_of(request: http_messages.Request, caller: str) -> str:
     """Return what identifies a request when it comes again.
--- a/packages/entry/src/camphorstair/fleet/forwarding.py
+++ b/packages/entry/src/camphorstair/fleet/forwarding.py
@@ -12,6 +12,7 @@
     calls,
     crash_suspects,
     dispatch,
+    reservations,
     state,
 )
 from camphorstair_core import errors, verdicts
@@ -31,15 +32,16 @@
     :ivar queued_s: Time from the request's arrival to the start of its last
         attempt.
     :ivar outcomes: Records how its attempts end.
-    :ivar move_started: Whether the current attempt was aborted to move its
-        stream to another endpoint; its retry was spent when it was aborted.
+    :ivar moving_to: The endpoint that is reserved for the next attempt, as the
+        current one was aborted to move its stream there; its retry was spent
+        when it was aborted. None if it was not aborted.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     call: calls.Call
     queued_s: float = 0
-    move_started: bool = False
+    moving_to: placement.Candidate | None = None
     outcomes: attempt_outcomes.OutcomeRecorder = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -49,6 +51,18 @@
     async def run(self) -> None:
         """Attempt the request until it is answered or must not be retried.
 
+        :raises errors.RequestError: if no attempt answered it.
+        """
+        try:
+            await self._run()
+        finally:
+            unused = self._take_reserved()
+            if unused is not None:
+                await self._release(unused)
+
+    async def _run(self) -> None:
+        """Attempt the request until it is answered or must not be retried.
+
         :raises errors.RequestError: if no attempt answered it.
         """
         call = self.call
@@ -80,14 +94,27 @@
         :raises errors.RequestError: if no endpoint can be used.
         """
         call = self.call
-        candidate = await self.dispatcher.acquire(call.service, call.waiter)
+        candidate = self._take_reserved()
+        if candidate is None:
+            candidate = await self.dispatcher.acquire(call.service, call.waiter)
         self.queued_s = clocks.monotonic_s() - call.received_s
         try:
             return await self._attempt(candidate)
         finally:
-            await self.dispatcher.release(
-                call.service, call.organisation, candidate
-            )
+            await self._release(candidate)
+
+    def _take_reserved(self) -> placement.Candidate | None:
+        """Return the reserved endpoint, which is reserved no more."""
+        reserved = self.moving_to
+        self.moving_to = None
+        return reserved
+
+    async def _release(self, candidate: placement.Candidate) -> None:
+        """Free the slot of an endpoint."""
+        call = self.call
+        await self.dispatcher.release(
+            call.service, call.organisation, candidate
+        )
 
     async def _attempt(
         self,
@@ -149,23 +176,25 @@
     def _move(self, attempt: attempts.Attempt) -> bool:
         """Abort an attempt so that its stream resumes at another endpoint.
 
+        Its slot there is reserved first, so that the stream need not wait and
+        can't be refused.
+
         :returns: Whether it was aborted; False if it is not an open stream,
-            is aborted already or must not be retried.
+            is aborted already, must not be retried or has no slot elsewhere.
         """
         call = self.call
-        if (
-            self.move_started
-            or attempt.exchange is None
-            or not call.streaming()
-        ):
+        if attempt.left or attempt.exchange is None or not call.streaming():
             return False
         # call.attempts does not include the current attempt yet.
-        if (
-            not self._may_send_again(call.attempts + 1)
-            or not self._spend_retry()
-        ):
+        if not self._may_send_again(call.attempts + 1):
+            return False
+        free = reservations.find(
+            self.dispatcher, call.service, call.waiter, attempt.candidate
+        )
+        if free is None or not self._spend_retry():
             return False
-        self.move_started = True
+        reservations.reserve(self.dispatcher, call.service, call.waiter, free)
+        self.moving_to = free
         attempt.abort()
         return True
 
@@ -175,13 +204,13 @@
         Spends a retry of the budget, unless the attempt was moved or had sent
         nothing.
         """
-        move_started = self.move_started
-        self.move_started = False
         if clocks.monotonic_s() >= self.call.deadline_s:
             return False
         if failure.suspect or not self._may_send_again(self.call.attempts):
             return False
-        return move_started or not failure.sent or self._spend_retry()
+        if self.moving_to is not None or not failure.sent:
+            return True
+        return self._spend_retry()
 
     def _may_send_again(self, attempts_sent: int) -> bool:
         """Return whether the request may be sent once more.
@@ -193,7 +222,7 @@
         """
         call = self.call
         if not verdicts.may_retry(
-            call.verdict, idempotent=call.route.repeatable()
+            call.verdict_now(), idempotent=call.route.repeatable()
         ):
             return False
         if (
--- a/packages/entry/src/camphorstair/fleet/receiving.py
+++ b/packages/entry/src/camphorstair/fleet/receiving.py
@@ -321,7 +321,7 @@
 
     def _timeout_error(self, call: calls.Call) -> errors.RequestError:
         """Return the error for a request that was not answered in time."""
-        if call.sent or call.verdict is not verdicts.Verdict.not_run:
+        if call.verdict_now() is not verdicts.Verdict.not_run:
             return errors.RequestError(
                 errors.deadline_exceeded,
                 'the deadline has passed',
--- a/tests/test_fleet_moving.py
+++ b/tests/test_fleet_moving.py
@@ -3,10 +3,10 @@
 import curio
 import fleet_bench
 import pytest
+import rank_streams
 
-from camphorstair_core.fleet import placement
 from camphorstair_platform_standins import scripted
-from camphorstair_runtime import clocks, http_messages
+from camphorstair_runtime import http_messages
 
 Script = scripted.Script
 SLOW = Script(events=8, gap_s=0.6)
@@ -18,39 +18,6 @@
     return fleet_bench.FleetBench()
 
 
-async def _add_rank(
-    running: fleet_bench.FleetBench,
-    name: str,
-    rank: int,
-    script: scripted.Script,
-) -> scripted.ScriptedEndpoint:
-    """Start one rank of an open (working) group of two ranks."""
-    endpoint = await running.add_endpoint(name, 'engine', script)
-    listed_endpoints = running.entry.endpoints.endpoints
-    running.register(
-        name,
-        'engine',
-        listed_endpoints[name].registration.address,
-        group={'Name': 'g', 'epoch': 1, 'rank': rank, 'State': 'open'},
-        size=2,
-    )
-    await running.wait_until(
-        lambda: listed_endpoints[name].registration.membership
-    )
-    return endpoint
-
-
-def _report_pace(
-    running: fleet_bench.FleetBench,
-    name: str,
-    pace: float,
-) -> None:
-    """Apply an engine report with a pace to an endpoint's load."""
-    load = running.entry.candidates[name].load
-    placement.record_report(load, load.running, 0, clocks.monotonic_s())
-    load.pace = pace
-
-
 def _event_ids(answer: http_messages.Response) -> tuple[bytes, ...]:
     lines = answer.body.split(b'\n')
     return tuple(line for line in lines if line.startswith(b'id'))
@@ -72,12 +39,12 @@
     last_event: str,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        slow = await _add_rank(running, 'i-1', 0, script)
+        slow = await rank_streams.add(running, 'i-1', 0, script)
         caller = await curio.spawn(running.call, '/draft/')
         await running.wait_until(lambda: slow.arrivals)
         await curio.sleep(until_slow_s)
-        fast = await _add_rank(running, 'i-2', 1, Script(events=8))
-        _report_pace(running, 'i-1', 12)
+        fast = await rank_streams.add(running, 'i-2', 1, Script(events=8))
+        rank_streams.report_pace(running, 'i-1', 12)
         answer = await caller.join()
         assert _event_ids(answer) == EVENTS
         assert fast.arrivals[0].header('last-event-id') == last_event
@@ -93,11 +60,11 @@
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
         script = Script(events=8, gap_s=0.05)
-        rank = await _add_rank(running, 'i-1', 0, script)
+        rank = await rank_streams.add(running, 'i-1', 0, script)
         caller = await curio.spawn(running.call, '/draft/')
         await running.wait_until(lambda: rank.arrivals)
-        await _add_rank(running, 'i-2', 1, Script(events=8))
-        _report_pace(running, 'i-1', pace)
+        await rank_streams.add(running, 'i-2', 1, Script(events=8))
+        rank_streams.report_pace(running, 'i-1', pace)
         assert _event_ids(await caller.join()) == EVENTS
         assert not rank.left
 
@@ -106,11 +73,11 @@
 
 def test_a_slow_rank_gets_no_requests(bench: fleet_bench.FleetBench) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        slow = await _add_rank(running, 'i-1', 0, Script(events=8))
-        fast = await _add_rank(running, 'i-2', 1, Script(events=8))
+        slow = await rank_streams.add(running, 'i-1', 0, Script(events=8))
+        fast = await rank_streams.add(running, 'i-2', 1, Script(events=8))
         await running.call('/draft/')
         await running.call('/draft/')
-        _report_pace(running, 'i-1', 1.6)
+        rank_streams.report_pace(running, 'i-1', 1.6)
         before = len(slow.arrivals)
         for number in range(4):
             await running.call('/draft/', f'b{number}')
