--- a/packages/core/src/camphorstair_core/fleet/store_copy.py
+++ b/packages/core/src/camphorstair_core/fleet/store_copy.py
@@ -69,10 +69,25 @@
 
     :ivar row: The change.
     :ivar deadline_s: When it is applied, unless the key is written before.
+    :ivar before: The key as it counts until then.
     """
 
     row: Item
     deadline_s: float
+    before: Item
+
+
+@attrs.frozen
+class UnsettledKey:
+    """A key whose change by the store's return is deferred.
+
+    :ivar before: The key as it counts until then.
+    :ivar revision: Revision of its value in the store; 0 if it does not exist
+        there.
+    """
+
+    before: Item
+    revision: int
 
 
 @attrs.define(eq=False)
@@ -151,6 +166,40 @@
     return expired
 
 
+def unsettled(store_copy: StoreCopy) -> tuple[UnsettledKey, ...]:
+    """Return the keys whose changes by the store's return are deferred."""
+    return tuple(
+        UnsettledKey(
+            deferred.before,
+            0 if deferred.row.content is None else deferred.row.revision,
+        )
+        for deferred in store_copy.deferred.values()
+    )
+
+
+def take_over(
+    store_copy: StoreCopy, keys: abc.Iterable[UnsettledKey], now_s: float
+) -> list[Item]:
+    """Defer what is deferred at another process, which knew the keys before.
+
+    Keys that were written since are left as they are.
+
+    :param store_copy: The copy of a process that has just read all keys.
+    :param keys: The unsettled keys of the other process in the same era.
+    :param now_s: The current time.
+    :returns: The changes to apply now.
+    """
+    applied = []
+    for key in keys:
+        before = key.before
+        missing = Item(before.key, None, 0)
+        row = store_copy.rows.get(before.key, missing)
+        if row.revision == key.revision:
+            _defer(store_copy, row, before, now_s)
+            applied.append(before)
+    return applied
+
+
 def read_again(store_copy: StoreCopy) -> None:
     """Note that changes were missed, so that all keys must be read."""
     store_copy.revision = None
@@ -230,11 +279,10 @@
         if _is_new(store_copy, known, row)
         or store_copy.at_once(known.get(row.key), row)
     ]
-    for row in missing:
-        _defer(store_copy, row, now_s + RETURN_LIMIT_S)
-    for row in changed:
-        if row not in applied:
-            _defer(store_copy, row, now_s + RESTORED_LIMIT_S)
+    deferred = [row for row in changed if row not in applied]
+    for row in missing + deferred:
+        before = known.get(row.key) or Item(row.key, None, row.revision)
+        _defer(store_copy, row, before, now_s)
     return applied
 
 
@@ -243,8 +291,12 @@
     return row.key not in known and row.key not in store_copy.removed_s
 
 
-def _defer(store_copy: StoreCopy, row: Item, deadline_s: float) -> None:
-    store_copy.deferred[row.key] = _Deferred(row, deadline_s)
+def _defer(
+    store_copy: StoreCopy, row: Item, before: Item, now_s: float
+) -> None:
+    """Defer a change until its owner should have written the key again."""
+    limit_s = RETURN_LIMIT_S if row.content is None else RESTORED_LIMIT_S
+    store_copy.deferred[row.key] = _Deferred(row, now_s + limit_s, before)
 
 
 def _missing(store_copy: StoreCopy, update: Update) -> list[Item]:
--- a/packages/entry/src/camphorstair/fleet/copy_serving.py
+++ b/packages/entry/src/camphorstair/fleet/copy_serving.py
@@ -6,6 +6,7 @@
 
 from camphorstair_core.fleet import content_age, store_copy
 from camphorstair_fleet import (
+    copy_messages,
     internal_answers,
     internal_messages,
     mirroring,
@@ -13,6 +14,9 @@
 )
 from camphorstair_runtime import clocks, http_messages
 
+# Longest wait for an era that another process has read already.
+ERA_LIMIT_S = 0.6
+
 
 @attrs.define(eq=False)
 class CopyService:
@@ -33,9 +37,7 @@
 
         :raises internal_messages.MessageError: if the call is malformed.
         """
-        call = internal_messages.decode(
-            request.body, internal_messages.CopyCall
-        )
+        call = internal_messages.decode(request.body, copy_messages.CopyCall)
         received_s = clocks.boottime_s()
         update = self._update(call)
         if update is not None and not update.rows and not update.whole:
@@ -47,16 +49,36 @@
                 http.HTTPStatus.SERVICE_UNAVAILABLE, error
             )
         now_s = clocks.boottime_s()
-        reply = internal_messages.CopyReply(
+        reply = copy_messages.CopyReply(
             update,
             content_age.age_s(self.mirror.freshness, now_s),
             now_s - received_s,
         )
         return internal_answers.whole(reply)
 
-    def _update(
-        self, call: internal_messages.CopyCall
-    ) -> store_copy.Update | None:
+    async def answer_unsettled(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        """Answer with the keys that are unsettled since the store's return.
+
+        Waits a short time until this entry has read the era of the caller.
+
+        :raises internal_messages.MessageError: if the call is malformed.
+        """
+        call = internal_messages.decode(
+            request.body, copy_messages.UnsettledCall
+        )
+        deadline_s = clocks.monotonic_s() + ERA_LIMIT_S
+        known = self.mirror.known
+        while known.rows_era < call.era and clocks.monotonic_s() < deadline_s:
+            await self.mirror.wait_round(ERA_LIMIT_S)
+        return internal_answers.whole(
+            copy_messages.UnsettledReply(
+                known.rows_era, store_copy.unsettled(known)
+            )
+        )
+
+    def _update(self, call: copy_messages.CopyCall) -> store_copy.Update | None:
         if self.mirror.failed:
             return None
         return store_copy.updates_since(
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -24,6 +24,7 @@
     restored_keys,
     source_choice,
     sources,
+    unsettled_keys,
 )
 from camphorstair_platform import configuration, registrations, store
 from camphorstair_runtime import clocks
@@ -84,10 +85,29 @@
         return [by_name[name].internal_address for name in ordered]
 
     async def _finish_round(self) -> None:
+        if self.mirror.listed() and not self.entry.listed:
+            await self._take_over()
         self.entry.listed = self.mirror.listed()
         await self._tell_crash_reporter()
         await self.dispatcher.serve_queues()
 
+    async def _take_over(self) -> None:
+        """Ask other entries what the store's latest return has not settled.
+
+        A process that starts after the return of an older copy can't tell what
+        that copy shows again. A store that names no era never returns so.
+        """
+        era = self.mirror.known.era
+        own = self.entry.settings.name
+        peers = [
+            member.internal_address
+            for member in self.entry.members.present.values()
+            if member.name != own
+        ]
+        if era:
+            keys = await unsettled_keys.ask(era, peers)
+            await self.mirror.take_over(keys)
+
     async def _tell_crash_reporter(self) -> None:
         """Tell the crash reporter of new reports and of a new era."""
         crashes = self.entry.crashes
--- a/packages/entry/src/camphorstair/fleet/internal_serving.py
+++ b/packages/entry/src/camphorstair/fleet/internal_serving.py
@@ -5,7 +5,11 @@
 import attrs
 
 from camphorstair.fleet import copy_serving, relaying
-from camphorstair_fleet import internal_answers, internal_messages
+from camphorstair_fleet import (
+    copy_messages,
+    internal_answers,
+    internal_messages,
+)
 from camphorstair_runtime import http_messages, http_server
 
 
@@ -39,6 +43,8 @@
     ) -> http_messages.Response:
         if request.path == internal_messages.RELAY_PATH:
             return await self.relay.answer(request)
-        if request.path == internal_messages.COPY_PATH:
+        if request.path == copy_messages.COPY_PATH:
             return await self.copies.answer(request)
+        if request.path == copy_messages.UNSETTLED_PATH:
+            return await self.copies.answer_unsettled(request)
         return internal_answers.unknown_call(request)
--- a/packages/fleet/src/camphorstair_fleet/internal_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/internal_messages.py
@@ -7,14 +7,12 @@
 
 from camphorstair_core import decoding
 from camphorstair_core.experts import even_maps, group_orders
-from camphorstair_core.fleet import store_copy
 
 ORDER_PATH = '/order'
 PREPARE_PATH = '/prepare'
 COUNTS_PATH = '/counts'
 EXPERTS_PATH = '/experts'
 RELAY_PATH = '/relay'
-COPY_PATH = '/copy'
 # Port on which agents receive ``SlotRequest``, counted from the first internal
 # port, which the planners' calls use.
 SLOT_PORT_OFFSET = 1
@@ -26,35 +24,6 @@
     """The bytes do not decode to a message of the expected type."""
 
 
-@attrs.frozen
-class CopyCall:
-    """A request for what a process lacks of an entry's copy of the store.
-
-    :ivar era: Era of the store that the process knows.
-    :ivar revision: Revision up to which it knows the content; 0 if it has to
-        read all keys.
-    :ivar prefixes: Prefixes of the keys that it follows.
-    """
-
-    era: int
-    revision: int
-    prefixes: tuple[str, ...]
-
-
-@attrs.frozen
-class CopyReply:
-    """The reply to a ``CopyCall``.
-
-    :ivar update: What the process lacks.
-    :ivar age_s: Age of the entry's content when the reply was made.
-    :ivar held_s: How long the entry waited for changes before it replied.
-    """
-
-    update: store_copy.Update
-    age_s: decoding.Duration
-    held_s: decoding.Duration
-
-
 @attrs.frozen
 class EngineLoad:
     """The load of an engine, sent by its agent to the entries.
--- a/packages/fleet/src/camphorstair_fleet/mirroring.py
+++ b/packages/fleet/src/camphorstair_fleet/mirroring.py
@@ -84,6 +84,14 @@
             return None
         return clocks.monotonic_s() + deadline_s - now_s
 
+    async def take_over(
+        self, keys: tuple[store_copy.UnsettledKey, ...]
+    ) -> None:
+        """Let keys count as they do at a process that knew them before."""
+        now_s = clocks.monotonic_s()
+        taken = store_copy.take_over(self.known, keys, now_s)
+        await self._apply_changes(taken)
+
     async def wait_round(self, limit_s: float) -> None:
         """Wait until the current round ends, but not longer than a limit."""
         event = curio.Event()
--- a/packages/fleet/src/camphorstair_fleet/restored_keys.py
+++ b/packages/fleet/src/camphorstair_fleet/restored_keys.py
@@ -3,7 +3,7 @@
 from camphorstair_core import decoding
 from camphorstair_core.fleet import roster, store_copy
 from camphorstair_fleet import keys
-from camphorstair_platform import registrations
+from camphorstair_platform import configuration, registrations
 
 
 def applies_at_once(
@@ -13,7 +13,7 @@
 
     The store may show an endpoint as ready that has been draining or has left,
     or an entry that has left. Such a change waits until the owner has written
-    the key again. A newer configuration has a higher version, and nothing is
+    the key again, and so does an older version of the configuration. Nothing is
     lost by applying a restriction too early.
 
     :param before: The key as it was known; None if it had been removed.
@@ -25,9 +25,19 @@
         )
     if after.key.startswith(keys.MEMBERS_PREFIX):
         return before is not None
+    if after.key == configuration.CONFIGURATION_KEY and before is not None:
+        return _version(before) <= _version(after)
     return True
 
 
+def _version(row: store_copy.Item) -> int:
+    """Return the version of a configuration; 0 if it can't be decoded."""
+    try:
+        return configuration.decode(row.content or b'').version
+    except decoding.FormatError:
+        return 0
+
+
 def _is_ready(row: store_copy.Item) -> bool:
     name = row.key.removeprefix(registrations.PREFIX)
     try:
--- a/packages/fleet/src/camphorstair_fleet/sources.py
+++ b/packages/fleet/src/camphorstair_fleet/sources.py
@@ -14,7 +14,7 @@
 import curio
 
 from camphorstair_core.fleet import store_copy
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import copy_messages, internal_messages
 from camphorstair_platform import configuration, store, store_errors
 from camphorstair_runtime import (
     clocks,
@@ -139,12 +139,12 @@
     """
 
     async def fetch(position: Position) -> Fetched:
-        call = internal_messages.CopyCall(
+        call = copy_messages.CopyCall(
             position.era, position.revision or 0, prefixes
         )
         request = http_messages.Request(
             'POST',
-            internal_messages.COPY_PATH,
+            copy_messages.COPY_PATH,
             [],
             internal_messages.encode(call),
         )
@@ -160,7 +160,7 @@
 async def _call_peer(
     connection: persistent_connection.PersistentConnection,
     request: http_messages.Request,
-) -> internal_messages.CopyReply:
+) -> copy_messages.CopyReply:
     """Return the reply of an entry.
 
     :raises PeerError: if it has none.
@@ -169,7 +169,7 @@
         answer = await connection.fetch(request, PEER_LIMIT_S)
         if answer.status == http.HTTPStatus.OK:
             return internal_messages.decode(
-                answer.body, internal_messages.CopyReply
+                answer.body, copy_messages.CopyReply
             )
         reason = f'status {answer.status}'
     except (http_client.HttpError, internal_messages.MessageError) as error:
--- a/tests/test_decoding_boundary.py
+++ b/tests/test_decoding_boundary.py
@@ -24,6 +24,7 @@
     store_copy,
 )
 from camphorstair_fleet import (
+    copy_messages,
     crash_rows,
     internal_messages,
     keys,
@@ -186,8 +187,13 @@
 )
 ITEM = store_copy.Item('servers/i-1', b'{}', 3)
 MESSAGES: tuple[typing.Any, ...] = (
-    internal_messages.CopyCall(1, 2, ('op/',)),
-    internal_messages.CopyReply(
+    copy_messages.CopyCall(1, 2, ('op/',)),
+    copy_messages.UnsettledCall(2),
+    copy_messages.UnsettledReply(
+        2,
+        (store_copy.UnsettledKey(store_copy.Item('op/config', b'{}', 3), 4),),
+    ),
+    copy_messages.CopyReply(
         store_copy.Update(1, 2, (ITEM,), whole=True), 0.5, 0.1
     ),
     internal_messages.EngineLoad('10.0.0.1:1', 1, 0, 1.5, True, 7),
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -7,7 +7,7 @@
 
 from camphorstair_agent.fleet import instruments, listing, state
 from camphorstair_core.fleet import store_copy
-from camphorstair_fleet import internal_messages, sources
+from camphorstair_fleet import copy_messages, sources
 from camphorstair_platform import store
 from camphorstair_runtime import (
     http_client,
@@ -82,7 +82,7 @@
     async def body(running: fleet_bench.FleetBench) -> None:
         address = f'{running.told.address}:{running.told.internal_port}'
         request = http_messages.Request(
-            'POST', internal_messages.COPY_PATH, [], content
+            'POST', copy_messages.COPY_PATH, [], content
         )
         assert (await http_client.fetch(address, request)).status == 400
         assert (await running.call('/look/')).status == 503
--- a/tests/test_supervising.py
+++ b/tests/test_supervising.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphorstair_fleet import internal_messages
+from camphorstair_fleet import copy_messages, internal_messages
 from camphorstair_runtime import supervising
 
 KINDS = (
@@ -17,8 +17,8 @@
     internal_messages.SlotGrant,
     internal_messages.RankCall,
     internal_messages.RankReply,
-    internal_messages.CopyCall,
-    internal_messages.CopyReply,
+    copy_messages.CopyCall,
+    copy_messages.CopyReply,
     internal_messages.CountsCall,
     internal_messages.PrepareCall,
     internal_messages.RelayedOrder,
