--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -92,9 +92,12 @@
         self.path.write_text(json.dumps(settings))
         self.log = pathlib.Path(folder) / f'{name}.log'
         self.process = None
+        self.over = False
 
     def start(self):
-        """Start the process."""
+        """Start the process, unless the case has ended."""
+        if self.over:
+            return
         kept = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -118,7 +121,8 @@
             self.process.send_signal(number)
 
     def end(self):
-        """Kill the process and wait for its end."""
+        """Kill the process for good and wait for its end."""
+        self.over = True
         if self.process is None:
             return
         self.send(signal.SIGCONT)
@@ -291,11 +295,20 @@
     return False
 
 
+async def _until_stopped(scenario):
+    """Run a scenario; a signal to the script cancels it, so that it cleans up."""
+    loop = asyncio.get_running_loop()
+    playing = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, playing.cancel)
+    return await scenario()
+
+
 def run(scenario):
     """Run a scenario; exit with its result, or 2 if it could not run."""
     try:
-        code = asyncio.run(scenario())
-    except Exception as error:  # noqa: BLE001
+        code = asyncio.run(_until_stopped(scenario))
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         print(f'the case could not run: {error!r}')
         code = 2
     sys.exit(code)
