Promise "not run" by the verdict at the stand-alone site, too

An entry of the stand-alone site passed a service's own 408, 421, 429 or 503 on, also the answer that is kept for an idempotency key, although the service had run the booking. And an error kept its 503 or 429 with the verdict may_have_run: a second attempt that its agent refused, a key whose owner could not be asked, a limit of the organisation for a request with a key.

Cause: the relay did not look at the status, and error_response took it from the error's code alone.

Change: a service's answer with such a status becomes 502 endpoint_failed with the verdict "ran"; a request that may be repeated is tried elsewhere. error_response goes by errors.status_of.

--- a/packages/entry/src/camphorstair/attempts.py
+++ b/packages/entry/src/camphorstair/attempts.py
@@ -194,6 +194,8 @@
         while chunk is not None:
             body.extend(chunk.body)
             chunk = await self._next_chunk(receiver)
+        if errors.promises_not_run(head.status):
+            raise self._untrue_promise(head.status)
         response = http_messages.Response(
             head.status,
             head.headers,
@@ -275,6 +277,19 @@
             failed.verdict,
         )
 
+    def _untrue_promise(self, status: int) -> errors.RequestError:
+        """Return the error for a status that promises that nothing has run.
+
+        Only agents know that; a request that reached its endpoint may have run.
+        The endpoint has answered, so its health is left as it is.
+        """
+        return errors.RequestError(
+            errors.endpoint_failed,
+            f'endpoint {self.endpoint.vm.name}: status {status}, although the'
+            ' request may have run',
+            verdicts.Verdict.ran,
+        )
+
     def _failed_attempt(
         self,
         code: errors.ErrorCode,
--- a/packages/runtime/src/camphorstair_runtime/http_messages.py
+++ b/packages/runtime/src/camphorstair_runtime/http_messages.py
@@ -142,7 +142,7 @@
 
 def error_response(error: errors.RequestError) -> Response:
     """Return the response that reports an error to a caller."""
-    response = json_response(error.code.status, envelope(error))
+    response = json_response(errors.status_of(error), envelope(error))
     response.headers.append(('x-camphorstair-verdict', error.verdict.value))
     if error.retry_after_s is not None:
         seconds = max(1, round(error.retry_after_s))
--- a/packages/standins/src/camphorstair_standins/plain.py
+++ b/packages/standins/src/camphorstair_standins/plain.py
@@ -51,8 +51,10 @@
         """Execute a booking on POST; return the execution counts on GET.
 
         ``GET /bookings/keys`` returns the counts by idempotency key, any other
-        GET those by request identifier.
+        GET those by request identifier. A booking is answered with the status
+        in its ``x-booking-status`` header, 200 without one.
         """
+        status = request.header('x-booking-status') or http.HTTPStatus.OK
         payload: object = self.runs
         if request.path == '/bookings/keys':
             payload = self.bookings
@@ -64,7 +66,7 @@
             await curio.sleep(float(requested_s or self.booking_s))
             payload = BookingReply(len(self.runs), identifier)
         await responder.respond(
-            http_messages.json_response(http.HTTPStatus.OK, payload),
+            http_messages.json_response(int(status), payload),
         )
 
     def _count_booking(self, request: http_messages.Request) -> None:
