Take a hold for answered only by a status that tells its outcome

A planner took any status of an engine's answer to a hold for its end, also a 503 or 500 that PROTOCOL does not list for orders.

Change: engines.tells_outcome knows the statuses by which an engine accepts or refuses an order; any other counts as no answer, so the hold is repeated for the same step.

tests/test_fleet_rank_calls: 8 of its 20 new cases failed before, none now.

--- a/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
+++ b/packages/agent/src/camphorstair_agent/fleet/rank_calls.py
@@ -114,8 +114,8 @@
     ) -> int:
         """Send an order to hold the group through an entry, if one relays it.
 
-        :returns: The status of the response; 0 if there is none, in which case
-            the rank may still have carried out the order.
+        :returns: The status of the response; 0 if there is none, or if it does
+            not tell what became of the order: the rank may carry it out later.
         """
         rank_order = internal_messages.RankOrder(order, epoch)
         entries = list(self.agent.members.values())
@@ -129,7 +129,7 @@
         if status is None:
             status = await self._order_engine(rank_order, registration)
         self.record_order(order, status)
-        return status
+        return status if engines.tells_outcome(status) else 0
 
     def agent_address(self, registration: roster.Registration) -> str:
         """Return ``IP:port`` of the agent on the VM of an engine."""
--- a/tests/test_fleet_rank_calls.py
+++ b/tests/test_fleet_rank_calls.py
@@ -209,3 +209,54 @@
         assert max(map(len, chunks)) <= size**0.5 + 1
         heads.update(chunk[0][0] for chunk in chunks)
     assert heads == set(range(size))
+
+
+# A planner took a hold that was answered 503 for refused, and held the group at
+# another step, although the order may be carried out later.
+@pytest.mark.parametrize('entries', [False, True])
+@pytest.mark.parametrize('status', [408, 429, 500, 503])
+def test_a_hold_whose_answer_does_not_tell_its_outcome_is_unanswered(
+    status: int, *, entries: bool
+) -> None:
+    assert _hold_status(status, entries=entries) == 0
+
+
+@pytest.mark.parametrize('entries', [False, True])
+@pytest.mark.parametrize('status', [200, 202, 400, 409, 412, 421])
+def test_a_hold_that_is_accepted_or_refused_is_answered(
+    status: int, *, entries: bool
+) -> None:
+    assert _hold_status(status, entries=entries) == status
+
+
+def _hold_status(status: int, *, entries: bool) -> int:
+    """Return what a planner takes for the status of a hold.
+
+    :param status: The status by which its engine answers.
+    :param entries: Whether an entry relays the order.
+    """
+
+    async def answer(
+        request: http_messages.Request, responder: http_server.Responder
+    ) -> None:
+        if request.path == ENGINE_ORDER_PATH:
+            await responder.respond(http_messages.Response(status, [], b''))
+            return
+        outcome = internal_messages.OrderOutcome(status)
+        await responder.respond(internal_answers.whole(outcome))
+
+    address = loopback.free_address()
+    calls = _rank_calls(address if entries else None)
+    hold = group_orders.Order(0, group_orders.OrderKind.hold, step=9)
+
+    async def body() -> int:
+        server = http_server.Server(answer)
+        host, port = settings.split_address(address)
+        serving = await curio.spawn(listening.serve, host, port, server.serve)
+        await curio.sleep(0.02)
+        try:
+            return await calls.hold(hold, _registration(address), 2)
+        finally:
+            await serving.cancel()
+
+    return curio.run(body)
