Use nothing that a return brings back to an entry that has just started

What callers could see: an endpoint that had left got requests again. An entry started after the endpoint had left; the store came back from a copy that still named it. Keys that a process neither knows nor remembers as removed counted as new and were used at once, but a process remembers no removal from before its start.

Change: a copy of the store that was begun less than 60 s ago (for so long removals are remembered, longer than a copy is old) takes no key for new. Its owner writes it again within a heartbeat; else it counts after 6 s.

--- a/packages/core/src/camphorstair_core/fleet/store_copy.py
+++ b/packages/core/src/camphorstair_core/fleet/store_copy.py
@@ -103,6 +103,7 @@
     :ivar revision: Up to which revision the content was read; None before the
         first update, and when all keys must be read again.
     :ivar rows: The keys that exist in the store.
+    :ivar read_s: When the keys were read for the first time; None before.
     :ivar removed_s: When each key that was removed recently was removed.
     :ivar changes: The latest change of each key that changed recently, the
         oldest change first.
@@ -116,6 +117,7 @@
     rows_era: int = -1
     revision: int | None = None
     rows: dict[str, Item] = attrs.field(factory=dict)
+    read_s: float | None = None
     removed_s: dict[str, float] = attrs.field(factory=dict)
     changes: dict[str, Item] = attrs.field(factory=dict)
     complete_after: int = 0
@@ -276,9 +278,11 @@
     applied = [
         row
         for row in changed
-        if _is_new(store_copy, known, row)
+        if _is_new(store_copy, known, row, now_s)
         or store_copy.at_once(known.get(row.key), row)
     ]
+    if store_copy.read_s is None:
+        store_copy.read_s = now_s
     deferred = [row for row in changed if row not in applied]
     for row in missing + deferred:
         before = known.get(row.key) or Item(row.key, None, row.revision)
@@ -286,8 +290,18 @@
     return applied
 
 
-def _is_new(store_copy: StoreCopy, known: dict[str, Item], row: Item) -> bool:
-    """Return whether a key was neither known nor removed before."""
+def _is_new(
+    store_copy: StoreCopy, known: dict[str, Item], row: Item, now_s: float
+) -> bool:
+    """Return whether a key was neither known nor removed before.
+
+    A copy that was begun shortly before the store's return does not know what
+    was removed before that, and then takes no key for new.
+    """
+    if store_copy.read_s is None:
+        return True
+    if now_s - store_copy.read_s < REMOVAL_MEMORY_S:
+        return False
     return row.key not in known and row.key not in store_copy.removed_s
 
 
