--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -239,6 +239,16 @@
         await self._group.spawn(listening.serve, host, port, serve)
         await curio.sleep(0.01)
 
+    async def silent_address(self) -> str:
+        """Return an address that accepts connections and never replies."""
+
+        async def hang(_sock: curio.io.Socket, _address: object) -> None:
+            await curio.Event().wait()
+
+        address = loopback.free_address()
+        await self.listen_raw(address, hang)
+        return address
+
     async def _run(self, body: Body) -> None:
         async with curio.TaskGroup(wait=any) as group:
             self._group = group
