--- a/packages/entry/src/camphorstair/fleet/admission.py
+++ b/packages/entry/src/camphorstair/fleet/admission.py
@@ -43,13 +43,7 @@
             the caller is not authorized, or this entry stops too soon.
         """
         self._check_serving()
-        configuration = self.entry.configuration
-        if configuration is None:
-            raise errors.RequestError(
-                errors.no_configuration,
-                'no configuration is known yet',
-                retry_after_s=dispatch.RETRY_AFTER_S,
-            )
+        configuration = self._configuration()
         route = configuration.find_route(request.header('host'), request.path)
         if route is None:
             raise errors.RequestError(
@@ -140,6 +134,21 @@
         if clocks.monotonic_s() >= self.entry.refuse_from_s:
             raise leaving_error(verdicts.Verdict.not_run)
 
+    def _configuration(self) -> catalogue.Catalogue:
+        """Return the configuration in force.
+
+        :raises errors.RequestError: if there is none, or a later one may have
+            been lost by the store.
+        """
+        configuration = self.entry.configuration
+        if configuration is not None and self.entry.informed:
+            return configuration
+        raise errors.RequestError(
+            errors.no_configuration,
+            'no configuration is known yet',
+            retry_after_s=dispatch.RETRY_AFTER_S,
+        )
+
     def _check_can_end(self, waiter: waiting.Waiter, now_s: float) -> None:
         """Refuse a request whose answer may not end before the process does.
 
--- a/packages/entry/src/camphorstair/fleet/copy_serving.py
+++ b/packages/entry/src/camphorstair/fleet/copy_serving.py
@@ -1,6 +1,7 @@
 """Tells other entries and agents what this entry knows of the store."""
 
 import http
+from collections import abc
 
 import attrs
 
@@ -23,9 +24,12 @@
     """Answers the calls of processes that follow this entry's copy.
 
     :ivar mirror: The entry's mirror of the store.
+    :ivar is_informed: Returns whether the entry knows what the store's latest
+        return has not settled.
     """
 
     mirror: mirroring.Mirror
+    is_informed: abc.Callable[[], bool]
 
     async def answer(
         self, request: http_messages.Request
@@ -74,7 +78,7 @@
             await self.mirror.wait_round(ERA_LIMIT_S)
         return internal_answers.whole(
             copy_messages.UnsettledReply(
-                known.rows_era, store_copy.unsettled(known)
+                known.rows_era, store_copy.unsettled(known), self.is_informed()
             )
         )
 
--- a/packages/entry/src/camphorstair/fleet/following.py
+++ b/packages/entry/src/camphorstair/fleet/following.py
@@ -8,7 +8,14 @@
 
 import attrs
 
-from camphorstair.fleet import dispatch, joining, quarantining, state
+from camphorstair.fleet import (
+    dispatch,
+    era_notes,
+    joining,
+    quarantining,
+    return_checks,
+    state,
+)
 from camphorstair_core import decoding, vms
 from camphorstair_core.fleet import (
     membership,
@@ -24,7 +31,6 @@
     restored_keys,
     source_choice,
     sources,
-    unsettled_keys,
 )
 from camphorstair_platform import configuration, registrations, store
 from camphorstair_runtime import clocks
@@ -45,16 +51,21 @@
     :ivar entry: The entry's state.
     :ivar dispatcher: Serves the queues after each call to the store.
     :ivar mirror: Reads and watches the store, or follows another entry.
+    :ivar return_check: Finds out what the store had lost at the start.
+    :ivar era_note: Notes in the store that its latest return is settled.
     """
 
     entry: state.FleetEntry
     dispatcher: dispatch.Dispatcher
     mirror: mirroring.Mirror = attrs.field(init=False)
+    return_check: return_checks.ReturnCheck = attrs.field(init=False)
+    era_note: era_notes.EraNote = attrs.field(init=False)
     _crash_changes: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the mirror that passes changes to this object."""
-        client = store.StoreClient(self.entry.settings.store.address)
+        address = self.entry.settings.store.address
+        client = store.StoreClient(address)
         choice = source_choice.SourceChoice(
             sources.store_source(client, PREFIXES), PREFIXES, self._peers
         )
@@ -65,6 +76,10 @@
             self._finish_round,
             store_copy.StoreCopy(restored_keys.applies_at_once),
         )
+        self.return_check = return_checks.ReturnCheck(self.entry, self.mirror)
+        self.era_note = era_notes.EraNote(
+            self.entry, self.mirror.known, store.StoreClient(address)
+        )
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -85,29 +100,11 @@
         return [by_name[name].internal_address for name in ordered]
 
     async def _finish_round(self) -> None:
-        if self.mirror.listed() and not self.entry.listed:
-            await self._take_over()
-        self.entry.listed = self.mirror.listed()
+        await self.return_check.update()
+        await self.era_note.update()
         await self._tell_crash_reporter()
         await self.dispatcher.serve_queues()
 
-    async def _take_over(self) -> None:
-        """Ask other entries what the store's latest return has not settled.
-
-        A process that starts after the return of an older copy can't tell what
-        that copy shows again. A store that names no era never returns so.
-        """
-        era = self.mirror.known.era
-        own = self.entry.settings.name
-        peers = [
-            member.internal_address
-            for member in self.entry.members.present.values()
-            if member.name != own
-        ]
-        if era:
-            keys = await unsettled_keys.ask(era, peers)
-            await self.mirror.take_over(keys)
-
     async def _tell_crash_reporter(self) -> None:
         """Tell the crash reporter of new reports and of a new era."""
         crashes = self.entry.crashes
--- a/packages/entry/src/camphorstair/fleet/serving.py
+++ b/packages/entry/src/camphorstair/fleet/serving.py
@@ -130,6 +130,7 @@
         await _spawn_kept(
             group,
             process.follower.run,
+            process.follower.era_note.run,
             sensing.LoadListener(entry, dispatcher).run,
             dispatcher.slot_asker.run,
             process.joining.run,
@@ -196,7 +197,9 @@
     await _listen(group, told.directory_address, directory_server)
     internal = internal_serving.InternalService(
         relaying.Relay(process.entry),
-        copy_serving.CopyService(process.follower.mirror),
+        copy_serving.CopyService(
+            process.follower.mirror, lambda: process.entry.informed
+        ),
     )
     internal_address = f'{told.address}:{told.internal_port}'
     await _listen(group, internal_address, http_server.Server(internal.handle))
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -48,7 +48,8 @@
     :ivar configuration: The configuration in force; None before the first was
         read.
     :ivar freshness: When the store's content was last confirmed.
-    :ivar listed: Whether the endpoints were read at least once.
+    :ivar informed: Whether the store's content was read, and what the store
+        had lost by then is known.
     :ivar endpoints: The registered endpoints and the data centres taken out.
     :ivar members: The entries that are members in the store.
     :ivar entry_count: Upper bound of the number of entries that serve.
@@ -82,7 +83,7 @@
     freshness: content_age.ContentAge = attrs.field(
         factory=content_age.ContentAge
     )
-    listed: bool = False
+    informed: bool = False
     endpoints: roster.Roster = attrs.field(factory=roster.Roster)
     members: membership.Members = attrs.field(factory=membership.Members)
     entry_count: windows.EntryCount = attrs.field(factory=windows.EntryCount)
@@ -122,9 +123,9 @@
 
         Whether it also accepts keys is up to ``keys_current``.
         """
-        return (
-            not self.leaving and self.configuration is not None and self.listed
-        )
+        if self.configuration is None or not self.informed:
+            return False
+        return not self.leaving
 
     def ready(self) -> bool:
         """Return whether callers should be directed to this entry."""
--- a/packages/fleet/src/camphorstair_fleet/copy_messages.py
+++ b/packages/fleet/src/camphorstair_fleet/copy_messages.py
@@ -53,8 +53,11 @@
     """The reply to an ``UnsettledCall``.
 
     :ivar era: Era of the store that the entry has read.
-    :ivar keys: The keys that are unsettled in it.
+    :ivar keys: The keys that are unsettled in it, as far as the entry knows.
+    :ivar informed: Whether the entry knows all of them; one that has started
+        just now may not.
     """
 
     era: int
     keys: tuple[store_copy.UnsettledKey, ...]
+    informed: bool = False
--- a/packages/fleet/src/camphorstair_fleet/keys.py
+++ b/packages/fleet/src/camphorstair_fleet/keys.py
@@ -5,6 +5,7 @@
 PLANNERS_PREFIX = 'camphorstair/planners/'
 CRASHES_PREFIX = 'camphorstair/crashes/'
 QUARANTINE_PREFIX = 'camphorstair/quarantine/'
+SETTLED_ERA = 'camphorstair/settled-era'
 
 
 def member(name: str) -> str:
--- a/packages/fleet/src/camphorstair_fleet/unsettled_keys.py
+++ b/packages/fleet/src/camphorstair_fleet/unsettled_keys.py
@@ -13,8 +13,6 @@
     persistent_connection,
 )
 
-# Entries that are asked at the same time.
-MAX_PEERS = 3
 CONNECT_LIMIT_S = 0.3
 # Longest wait for a reply; an entry may still have to read the era.
 ASK_LIMIT_S = 1.0
@@ -24,38 +22,39 @@
 Keys = tuple[store_copy.UnsettledKey, ...]
 
 
-async def ask(era: int, peers: list[str]) -> Keys:
-    """Return the unsettled keys of the first entry that replies.
+async def ask(era: int, peers: list[str]) -> Keys | None:
+    """Return the unsettled keys of the first entry that knows them all.
 
     :param era: The era of the store that this process has read.
     :param peers: The internal addresses of entries.
-    :returns: Empty if none replies in time, or none has read the era.
+    :returns: None if no entry that has read the era and knows them replies in
+        time.
     """
     replies: list[Keys] = []
     replied = curio.Event()
 
     async def ask_one(address: str) -> None:
         reply = await _call(era, address)
-        if reply is not None and reply.era == era:
+        if reply is not None and reply.era == era and reply.informed:
             replies.append(reply.keys)
             await replied.set()
 
     async def ask_all() -> None:
         async with curio.TaskGroup() as group:
-            for address in peers[:MAX_PEERS]:
+            for address in peers:
                 await group.spawn(ask_one, address)
 
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(ask_all)
         await group.spawn(replied.wait)
-    keys = replies[0] if replies else ()
+    keys = replies[0] if replies else None
     _LOG.info(
         'entries asked for unsettled keys',
         extra={
             'era': era,
-            'peers': len(peers[:MAX_PEERS]),
+            'peers': len(peers),
             'replies': len(replies),
-            'unsettled': len(keys),
+            'unsettled': len(keys or ()),
         },
     )
     return keys
--- a/tests/fleet_bench.py
+++ b/tests/fleet_bench.py
@@ -8,6 +8,7 @@
 from opentelemetry import metrics as metrics_api
 
 from camphorstair.fleet import serving, state
+from camphorstair_fleet import keys, settled_eras
 from camphorstair_platform import boot
 from camphorstair_platform_standins import (
     documents,
@@ -84,6 +85,8 @@
     :ivar scripted_endpoints: Simulated endpoints by name.
     :ivar told: Decoded boot settings of the entry; set by ``run``.
     :ivar process: The entry's servers and background tasks; set by ``run``.
+    :ivar notes_era: Whether the store notes that its era is settled, as it does
+        where a fleet has run for some time.
     """
 
     store: stores.PlatformStore = attrs.field(
@@ -94,6 +97,7 @@
     )
     told: boot.BootSettings = attrs.field(init=False)
     process: serving.Process = attrs.field(init=False)
+    notes_era: bool = True
     _group: curio.TaskGroup = attrs.field(init=False)
 
     @property
@@ -152,10 +156,15 @@
 
     async def add_entry(self, name: str) -> serving.Process:
         """Start another entry on the same store and wait until it is ready."""
+        process = await self.start_entry(name)
+        await self.wait_until(process.entry.ready)
+        return process
+
+    async def start_entry(self, name: str) -> serving.Process:
+        """Start another entry on the same store."""
         told = boot.decode(boot_settings(self.told.store.address, name))
         process = serving.build(told, metrics_api.NoOpMeter('test'))
         await self._group.spawn(serving.serve, process)
-        await self.wait_until(process.entry.ready)
         return process
 
     async def call(
@@ -235,6 +244,9 @@
             self._group = group
             address = loopback.free_address()
             await self.listen(address, self.store.handle)
+            if self.notes_era:
+                note = settled_eras.encode(self.store.era)
+                self.store.put(keys.SETTLED_ERA, note)
             self.configure()
             self.told = boot.decode(boot_settings(address))
             meter = metrics_api.NoOpMeter('test')
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -10,6 +10,7 @@
 import fleet_bench
 import pytest
 
+from camphorstair_fleet import keys, settled_eras
 from camphorstair_platform import boot
 from camphorstair_platform_standins import (
     documents,
@@ -60,6 +61,8 @@
     content = fleet_bench.boot_settings(store_address)
     path = directory / 'settings.json'
     path.write_bytes(content)
+    note = settled_eras.encode(platform_store.era)
+    platform_store.put(keys.SETTLED_ERA, note)
     platform_store.put(documents.CONFIGURATION_KEY, fleet_bench.configuration())
     platform_store.put(
         documents.registration_key('i-1'),
--- a/tests/test_fleet_start_after_return.py
+++ b/tests/test_fleet_start_after_return.py
@@ -3,15 +3,31 @@
 It has not seen what the copy lacks, so it asks the entries that have.
 """
 
+import contextlib
+
+import attrs
 import curio
 import fleet_bench
+import msgspec
 import pytest
 
 from camphorstair.fleet import serving
-from camphorstair_core.fleet import store_copy
-from camphorstair_fleet import unsettled_keys
+from camphorstair_core.fleet import membership, store_copy
+from camphorstair_fleet import (
+    copy_messages,
+    internal_answers,
+    keys,
+    settled_eras,
+    sources,
+    unsettled_keys,
+)
 from camphorstair_platform_standins import documents, stores
-from camphorstair_runtime import clocks
+from camphorstair_runtime import (
+    clocks,
+    http_client,
+    http_messages,
+    http_server,
+)
 from camphorstair_standins import loopback
 
 SERVED = 200
@@ -89,6 +105,32 @@
     bench.run(body)
 
 
+# An entry that had started after an endpoint had left used it again once the
+# store came back from a copy that still named it.
+def test_an_endpoint_that_left_before_the_start_is_not_used_after_a_return(
+    bench: fleet_bench.FleetBench,
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        left = await running.add_endpoint('i-1', 'plain')
+        before = running.entry.endpoints.endpoints
+        address = before['i-1'].registration.address
+        earlier = running.store.copy_content()
+        running.store.remove(documents.registration_key('i-1'))
+        started = await running.add_entry('front-2')
+        known = started.entry.endpoints.endpoints
+        assert 'i-1' not in known
+        running.store.come_back(earlier)
+        mirror = started.follower.mirror
+        await running.wait_until(lambda: mirror.known.rows_era == 2)
+        assert await _status(running, started) == UNAVAILABLE
+        assert not left.arrivals
+        running.register('i-1', 'plain', address, Sequence=9)
+        await running.wait_until(lambda: 'i-1' in known)
+        assert await _status(running, started) == SERVED
+
+    bench.run(body)
+
+
 def test_a_data_centre_that_is_out_gets_nothing_from_an_entry_that_starts(
     bench: fleet_bench.FleetBench,
 ) -> None:
@@ -122,36 +164,193 @@
     bench.run(body)
 
 
+# review/12: an entry that found none to ask, or waited for a reply, ran requests
+# with a revoked key, or sent them to an endpoint that had left.
+@pytest.mark.parametrize('names_silent_entry', [False, True])
+@pytest.mark.parametrize('left', ['key', 'endpoint'])
+def test_an_entry_that_starts_does_not_act_before_it_knows(
+    bench: fleet_bench.FleetBench, left: str, *, names_silent_entry: bool
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        endpoint = await running.add_endpoint('i-1', 'plain')
+        known = running.entry.endpoints.endpoints
+        await running.wait_until(lambda: PEER_KEY in running.store.rows)
+        earlier = running.store.copy_content()
+        # The leases of the copy have ended, and with them its members.
+        earlier.rows.pop(PEER_KEY)
+        if names_silent_entry:
+            _name_member(earlier, 'front-0', await _silent_address(running))
+        if left == 'key':
+            others = [documents.organisation('other', 'k2')]
+            running.configure(2, Tenants=others)
+            await running.wait_until(lambda: _version(running.process) == 2)
+        else:
+            running.store.remove(documents.registration_key('i-1'))
+            await running.wait_until(lambda: 'i-1' not in known)
+        running.store.come_back(earlier)
+        started = await running.start_entry('front-2')
+        statuses = await _statuses_until_ready(running, started)
+        assert statuses <= {UNAVAILABLE, 0}
+        expected = UNAUTHORIZED if left == 'key' else UNAVAILABLE
+        assert await _status(running, started) == expected
+        assert not endpoint.arrivals
+
+    bench.run(body)
+
+
 # An entry must start though no other one replies.
-def test_silent_entries_delay_a_start_for_a_bounded_time(
+def test_an_entry_that_is_alone_starts_within_a_bound(
     bench: fleet_bench.FleetBench,
 ) -> None:
-    async def hang(_sock: curio.io.Socket, _address: object) -> None:
-        await curio.sleep(10)
+    bench.notes_era = False
+    began_s = clocks.monotonic_s()
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        waited_s = clocks.monotonic_s() - began_s
+        bound_s = store_copy.RESTORED_LIMIT_S + sources.WATCH_WAIT_S + 1
+        assert store_copy.RESTORED_LIMIT_S <= waited_s < bound_s
+        # The next one need not wait.
+        rows = running.store.rows
+        await running.wait_until(lambda: keys.SETTLED_ERA in rows)
+        assert rows[keys.SETTLED_ERA].content == settled_eras.encode(1)
+        noted_s = clocks.monotonic_s()
+        await running.add_entry('front-2')
+        assert clocks.monotonic_s() - noted_s < 1
+
+    bench.run(body)
 
+
+def test_a_settled_return_is_noted_once(bench: fleet_bench.FleetBench) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        await running.add_entry('front-2')
+        rows = running.store.rows
+        await running.wait_until(lambda: PEER_KEY in rows)
+        running.store.come_back(running.store.copy_content())
+        rows = running.store.rows
+        note = settled_eras.encode(2)
+        await running.wait_until(lambda: rows[keys.SETTLED_ERA].content == note)
+        revision = rows[keys.SETTLED_ERA].revision
+        await curio.sleep(2.5)
+        assert rows[keys.SETTLED_ERA].revision == revision
+
+    bench.run(body)
+
+
+@pytest.mark.parametrize(
+    ('era', 'note', 'settled'),
+    [
+        (0, None, True),
+        (2, None, False),
+        (2, b'2', True),
+        (2, b'1', False),
+        (2, b'"2"', False),
+        (2, b'', False),
+        (2, b'[' * 90, False),
+    ],
+)
+def test_only_a_note_of_the_same_era_shows_that_it_is_settled(
+    era: int, note: bytes | None, *, settled: bool
+) -> None:
+    known = store_copy.StoreCopy(lambda _before, _after: True)
+    rows = (store_copy.Item(keys.SETTLED_ERA, note, 1),) if note else ()
+    store_copy.take(known, store_copy.Update(era, 9, rows, whole=True), 0)
+    assert settled_eras.is_settled(known) is settled
+
+
+# The first reply counted, also that of an entry that knew nothing itself.
+@pytest.mark.parametrize('informed', [False, True])
+def test_an_entry_that_knows_nothing_has_no_reply(
+    bench: fleet_bench.FleetBench, *, informed: bool
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        fresh = await _replying(running, copy_messages.UnsettledReply(1, ()))
+        unsettled = (
+            store_copy.UnsettledKey(store_copy.Item('a', b'seen', 8), 1),
+        )
+        reply = copy_messages.UnsettledReply(1, unsettled, informed)
+        other = await _replying(running, reply)
+        expected = unsettled if informed else None
+        asked = await unsettled_keys.ask(1, [fresh, other])
+        assert asked == expected
+
+    bench.run(body)
+
+
+def test_silent_entries_delay_a_start_for_a_bounded_time(
+    bench: fleet_bench.FleetBench,
+) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        silent = loopback.free_address()
-        await running.listen_raw(silent, hang)
+        silent = await _silent_address(running)
         asked_s = clocks.monotonic_s()
         peers = [silent, loopback.free_address()]
-        assert not await unsettled_keys.ask(1, peers)
+        assert await unsettled_keys.ask(1, peers) is None
         limit_s = unsettled_keys.ASK_LIMIT_S + 0.3
         assert clocks.monotonic_s() - asked_s < limit_s
-        assert not await unsettled_keys.ask(1, [])
+        assert await unsettled_keys.ask(1, []) is None
 
     bench.run(body)
 
 
+async def _silent_address(running: fleet_bench.FleetBench) -> str:
+    """Return an address that accepts connections and never replies."""
+
+    async def hang(_sock: curio.io.Socket, _address: object) -> None:
+        await curio.sleep(20)
+
+    address = loopback.free_address()
+    await running.listen_raw(address, hang)
+    return address
+
+
+async def _replying(
+    running: fleet_bench.FleetBench, reply: copy_messages.UnsettledReply
+) -> str:
+    """Return the address of an entry that gives a reply to each call."""
+
+    async def answer(
+        _request: http_messages.Request, responder: http_server.Responder
+    ) -> None:
+        await responder.respond(internal_answers.whole(reply))
+
+    address = loopback.free_address()
+    await running.listen(address, answer)
+    return address
+
+
+def _name_member(content: stores.StoreContent, name: str, address: str) -> None:
+    """Add a member to a copy of the store."""
+    member = membership.Member(name, 'levis-nord', address, address)
+    row = content.rows[documents.CONFIGURATION_KEY]
+    content.rows[keys.member(name)] = attrs.evolve(
+        row, content=msgspec.json.encode(member)
+    )
+
+
+async def _statuses_until_ready(
+    running: fleet_bench.FleetBench, entry: serving.Process
+) -> set[int]:
+    """Return the statuses of an entry that starts; 0 if it is not reached."""
+    statuses = set()
+    while not entry.entry.ready():
+        status = 0
+        with contextlib.suppress(http_client.HttpError):
+            status = await _status(running, entry)
+        if not entry.entry.ready():
+            statuses.add(status)
+        await curio.sleep(0.01)
+    return statuses
+
+
 def test_a_key_that_was_written_since_is_not_put_back() -> None:
     known = store_copy.StoreCopy(lambda _before, _after: True)
     rows = (store_copy.Item('a', b'new', 9), store_copy.Item('b', b'old', 2))
     store_copy.take(known, store_copy.Update(2, 9, rows, whole=True), 0)
-    keys = (
+    unsettled = (
         store_copy.UnsettledKey(store_copy.Item('a', b'seen', 8), 1),
         store_copy.UnsettledKey(store_copy.Item('b', b'seen', 8), 2),
         store_copy.UnsettledKey(store_copy.Item('c', b'seen', 8), 0),
     )
-    taken = store_copy.take_over(known, keys, 0)
+    taken = store_copy.take_over(known, unsettled, 0)
     assert [row.key for row in taken] == ['b', 'c']
     assert not store_copy.due(known, store_copy.RETURN_LIMIT_S - 0.1)
     assert [row.key for row in store_copy.due(known, 9)] == ['b', 'c']
