--- a/packages/runtime/src/camphorstair_runtime/closing.py
+++ b/packages/runtime/src/camphorstair_runtime/closing.py
@@ -1,4 +1,7 @@
-"""Closes connections without losing data that was already sent."""
+"""Closes connections without losing data that was already sent.
+
+None of the functions does anything to a socket that is closed already.
+"""
 
 import contextlib
 import socket
@@ -22,6 +25,8 @@
 
     :param sock: A connected socket, with or without TLS.
     """
+    if _is_closed(sock):
+        return
     duplicate = socket.fromfd(sock.fileno(), socket.AF_INET, socket.SOCK_STREAM)
     with contextlib.closing(duplicate), contextlib.suppress(OSError):
         duplicate.shutdown(socket.SHUT_RD)
@@ -33,6 +38,8 @@
     Unlike a regular close, it never looks like the end of a response without a
     length.
     """
+    if _is_closed(sock):
+        return
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
 
@@ -48,9 +55,15 @@
 
     :param sock: A connected socket.
     """
+    if _is_closed(sock):
+        return
     with contextlib.suppress(OSError):
         await sock.shutdown(socket.SHUT_WR)
         await curio.sleep(LINGER_S)
         async with curio.ignore_after(LINGER_S):
             while chunk := await sock.recv(_READ_BYTES):
                 await fairness.count_event(len(chunk))
+
+
+def _is_closed(sock: curio.io.Socket) -> bool:
+    return sock.fileno() < 0
--- a/packages/runtime/src/camphorstair_runtime/http_client.py
+++ b/packages/runtime/src/camphorstair_runtime/http_client.py
@@ -154,7 +154,8 @@
         """Close the connection; reset it if the response has not come whole.
 
         A request that is held up on the way is dropped then. Otherwise it would
-        arrive although nobody waits for its response.
+        arrive although nobody waits for its response. Closing again does
+        nothing.
         """
         if self.protocol.their_state in _UNFINISHED_STATES:
             closing.reset_on_close(self.sock)
--- a/soak/running.py
+++ b/soak/running.py
@@ -79,19 +79,32 @@
 ) -> None:
     keys = [f'k{number}' for number in range(CALLERS)]
     await running.start(ENTRIES, keys)
-    await _start_callers(running, seed, keys)
+    tasks = await _start_callers(running, seed, keys)
     await faults.FaultInjector(running).run(scheduled)
     await curio.sleep(max(0, duration_s - running.elapsed_s()))
+    running.seen.faults.extend(lost_callers(tasks))
     running.seen.faults.extend(await idle_entries(running, duration_s))
 
 
 async def _start_callers(
     running: fleet.Fleet, seed: int, keys: list[str]
-) -> None:
+) -> list[curio.Task]:
+    """Start the callers and return their tasks."""
+    tasks = []
     for number, key in enumerate(keys):
         generator = random.Random(seed * CALLERS + number)
         caller = _caller(running, f'{seed}-{number}', key, generator)
-        await running.group.spawn(caller.run)
+        tasks.append(await running.group.spawn(caller.run))
+    return tasks
+
+
+def lost_callers(tasks: list[curio.Task]) -> list[str]:
+    """Describe the callers that have ended, as none does before the run."""
+    return [
+        f'caller {number} ended early: {task.exception!r}'
+        for number, task in enumerate(tasks)
+        if task.terminated
+    ]
 
 
 def _caller(
--- a/tests/test_abandoned_exchanges.py
+++ b/tests/test_abandoned_exchanges.py
@@ -4,12 +4,16 @@
 for example until a frozen VM wakes; one that is reset does not.
 """
 
+import socket
+from collections import abc
+
 import curio
 import fleet_bench
 import pytest
 
 from camphorstair_platform_standins import exchange_headers
 from camphorstair_runtime import (
+    closing,
     http_client,
     http_messages,
     persistent_connection,
@@ -102,3 +106,36 @@
         assert server.ends == [end]
 
     bench.run(body)
+
+
+# A caller of the soak that closed a connection twice, the second time without
+# a whole answer, ended with AttributeError.
+def test_a_closed_exchange_can_be_closed_again() -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        address = loopback.free_address()
+        await running.listen_raw(address, Endpoint().serve)
+        exchange = await http_client.connect(address)
+        request = http_messages.Request('GET', '/', [], b'')
+        await http_client.send(exchange, 'x', request)
+        await exchange.close()
+        await exchange.close()
+
+    fleet_bench.FleetBench().run(body)
+
+
+@pytest.mark.parametrize(
+    'function', [closing.stop_reading, closing.reset_on_close, closing.linger]
+)
+def test_a_socket_that_is_closed_already_is_left_alone(
+    function: abc.Callable[[curio.io.Socket], abc.Awaitable[None] | None],
+) -> None:
+    async def body() -> None:
+        own, peer = socket.socketpair()
+        with own, peer:
+            sock = curio.io.Socket(own)
+            await sock.close()
+            pending = function(sock)
+            if pending is not None:
+                await pending
+
+    curio.run(body)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,26 @@
     return ended
 
 
+# Callers that ended with an error were not missed: 31 of 72 in 8 runs.
+def test_callers_that_end_early_are_reported() -> None:
+    assert curio.run(_lost_callers) == ["caller 1 ended early: OSError('x')"]
+
+
+async def _lost_callers() -> list[str]:
+    async def fail() -> None:
+        raise OSError('x')
+
+    async with curio.TaskGroup(wait=any) as group:
+        tasks = [
+            await group.spawn(curio.sleep, 9),
+            await group.spawn(fail),
+        ]
+        await curio.sleep(0.05)
+        lost = running.lost_callers(tasks)
+        await group.cancel_remaining()
+    return lost
+
+
 def test_only_entries_that_serve_nobody_who_asks_are_reported(
     tmp_path: pathlib.Path,
 ) -> None:
