--- a/packages/core/src/camphorstair_core/experts/group_orders.py
+++ b/packages/core/src/camphorstair_core/experts/group_orders.py
@@ -11,8 +11,9 @@
 2. One rank holds a future step: the group does not begin that step.
 3. When the hold is reported, every rank is armed for that step, at which it
    will switch. All ranks have prepared the version by then, so arming can
-   be completed unless another planner prepares its own: if a step began with only
-   some of the ranks armed, these would use another map than the others.
+   be completed, unless another planner prepares its own map meanwhile. If a
+   step began with only some of the ranks armed, these would use another map
+   than the others.
 4. When every rank reports that it is armed, the hold is released.
 
 A version is armed for one step only. An order to arm may be carried out late, as
@@ -22,13 +23,14 @@
 same step until that has begun. A hold at another step, as of an earlier
 planner, is released once all ranks are armed.
 
-A held group whose ranks have not all prepared the same version has mostly not
-been armed, and its hold is released. A late order of an earlier planner can have
-held it, and some ranks can have been armed while others prepared the next
-planner's version. These are disarmed first; the version that they were armed for
-can't come into use any more. Versions increase with the store's era
-and revision under which a planner took its lease. So no two planners use the same
-version, and a rank refuses a late order to prepare an earlier version.
+A hold of a group whose ranks have not all prepared the same version is released.
+Mostly none of them is armed then. But some may be, if a late order of an earlier
+planner held the group while the next one prepared its map at the others. They
+are disarmed first: all ranks can't be armed for that version any more.
+
+Versions increase with the store's era and revision under which a planner took
+its lease. So no two planners use the same version, and a rank refuses a late
+order to prepare an earlier version.
 """
 
 import enum
@@ -172,10 +174,10 @@
     :returns: If all ranks have prepared the same version and not all use it
         yet: orders to arm the ranks or, once all are armed for one step, to
         release the hold. Otherwise orders to disarm ranks that would switch
-        without the others; without any, orders to release the hold if the
-        earlier round already saw every hold. The hold of the lowest step is released first. Empty if
-        there is no hold, if a report is missing, or if a hold must be seen
-        again.
+        without the others; if there are none, orders to release the hold if the
+        earlier round already saw every hold. The hold of the lowest step is
+        released first. Empty if there is no hold, if a report is missing, or if
+        a hold or the end of a copy must be waited for.
     """
     held = holds(reports)
     if not held or not _is_complete(reports, size):
--- a/tests/successive_planners.py
+++ b/tests/successive_planners.py
@@ -7,56 +7,13 @@
 import random
 
 import attrs
+import rank_readers
 import rank_world
 
 from camphorstair_core.experts import group_orders
 
-SIZE = 3
 STEPS = 90
 MARGINS = (1, 2, 3, group_orders.CAUTIOUS_STEP_MARGIN)
-HOLD_RANK = 1
-
-
-@attrs.define
-class Reader:
-    """A process that reads the ranks one by one and then gives orders.
-
-    :ivar target_version: Version that a planner brings into use; None for the
-        rescuer.
-    :ivar reports: Reports of the round in progress by rank.
-    :ivar held_before: Holds in the reports of the previous round.
-    :ivar unanswered_step: Step of its last order to hold without an answer.
-    """
-
-    target_version: int | None
-    reports: group_orders.Reports = attrs.field(factory=dict)
-    held_before: group_orders.Holds = frozenset()
-    unanswered_step: int = 0
-
-    def read(
-        self, world: rank_world.World, margin: int
-    ) -> list[group_orders.Order]:
-        """Read one more rank; return the orders if that completes a round."""
-        number = len(self.reports)
-        self.reports[number] = world.report(number)
-        if len(self.reports) < SIZE:
-            return []
-        reports = self.reports
-        held_before = self.held_before
-        self.reports = {}
-        self.held_before = group_orders.holds(reports)
-        if self.held_before:
-            return group_orders.orders_while_held(reports, SIZE, held_before)
-        if self.target_version is None:
-            return []
-        return group_orders.orders_before_hold(
-            reports,
-            SIZE,
-            self.target_version,
-            HOLD_RANK,
-            margin,
-            self.unanswered_step,
-        )
 
 
 @attrs.define
@@ -70,18 +27,18 @@
 
     generator: random.Random
     world: rank_world.World
-    readers: list[Reader]
+    readers: list[rank_readers.Planner]
 
     def run(self) -> bool:
         """Play; return whether each pass began with one map."""
         handover = self.generator.randrange(STEPS)
         for step in range(STEPS):
             if step == handover:
-                self.readers[0] = Reader(_version(2))
+                self.readers[0] = rank_readers.Planner(_version(2))
             self.generator.choice(
                 (self._read, self._read, self._read, self._late, self._pass)
             )()
-            for number in range(SIZE):
+            for number in range(rank_readers.SIZE):
                 if self._happens(0.5):
                     self.world.copy_ends(number)
             if self._happens(0.1):
@@ -96,7 +53,7 @@
     def _read(self) -> None:
         """Let a reader read a rank; its orders have any fate."""
         reader = self.generator.choice(self.readers)
-        orders = reader.read(self.world, self.generator.choice(MARGINS))
+        orders = reader.look(self.world, self.generator.choice(MARGINS))
         for order in orders:
             is_answered = self._happens(0.5)
             if is_answered:
@@ -125,8 +82,10 @@
 
 def play(seed: int) -> bool:
     """Return whether each pass of the play with a seed began with one map."""
-    world = rank_world.World([rank_world.Rank() for _ in range(SIZE)])
-    readers = [Reader(_version(1)), Reader(None)]
+    world = rank_world.World(
+        [rank_world.Rank() for _ in range(rank_readers.SIZE)]
+    )
+    readers = [rank_readers.Planner(_version(1)), rank_readers.Planner(None)]
     return Play(random.Random(seed), world, readers).run()
 
 
--- a/tests/test_group_orders.py
+++ b/tests/test_group_orders.py
@@ -1,61 +1,20 @@
 """Tests of an expert map change with late, lost and duplicated orders."""
 
 import attrs
+import rank_readers
 import rank_world
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from camphorstair_core.experts import group_orders
 
-SIZE = 3
+SIZE = rank_readers.SIZE
 ROUNDS = 40
 MARGINS = (1, 2, 3, 5, group_orders.CAUTIOUS_STEP_MARGIN)
 Order = group_orders.Order
 OrderKind = group_orders.OrderKind
 
 
-@attrs.define
-class Planner:
-    """A process that polls ranks one by one and then sends orders.
-
-    :ivar target_version: Version to bring into use; None for a rescuer, which
-        only finishes or undoes the change of another planner.
-    :ivar round_reports: Reports of the round in progress by rank.
-    :ivar previous_holds: Held passes in the reports of the previous round,
-        as pairs of rank and pass.
-    :ivar unanswered_step: Step of its last order to hold without an answer.
-    """
-
-    target_version: int | None
-    round_reports: group_orders.Reports = attrs.field(factory=dict)
-    previous_holds: group_orders.Holds = frozenset()
-    unanswered_step: int = 0
-
-    def look(
-        self, world: rank_world.World, margin: int = group_orders.STEP_MARGIN
-    ) -> list[Order]:
-        """Read one more rank's report.
-
-        :param margin: How many steps ahead a hold is ordered.
-        :returns: The orders if this report completes a round, else none.
-        """
-        number = len(self.round_reports)
-        self.round_reports[number] = world.report(number)
-        if len(self.round_reports) < SIZE:
-            return []
-        reports = self.round_reports
-        before = self.previous_holds
-        self.round_reports = {}
-        self.previous_holds = group_orders.holds(reports)
-        if self.previous_holds:
-            return group_orders.orders_while_held(reports, SIZE, before)
-        if self.target_version is None:
-            return []
-        return group_orders.orders_before_hold(
-            reports, SIZE, self.target_version, 1, margin, self.unanswered_step
-        )
-
-
 class GroupMachine(stateful.RuleBasedStateMachine):
     """Replace planners while orders are lost, delayed and duplicated."""
 
@@ -65,7 +24,10 @@
         ranks = [rank_world.Rank() for _ in range(SIZE)]
         self.world = rank_world.World(ranks)
         self.version = group_orders.version_number(1, 1, 1)
-        self.planners = [Planner(self.version), Planner(None)]
+        self.planners = [
+            rank_readers.Planner(self.version),
+            rank_readers.Planner(None),
+        ]
 
     @stateful.rule(
         which=st.integers(0, 1),
@@ -116,7 +78,7 @@
     def next_planner(self) -> None:
         """Replace the planner by one with a newer lease and higher versions."""
         self.version += group_orders.VERSIONS_PER_LEASE
-        self.planners[0] = Planner(self.version)
+        self.planners[0] = rank_readers.Planner(self.version)
 
     @stateful.invariant()
     def one_map(self) -> None:
@@ -130,7 +92,9 @@
 TestGroupMachine = GroupMachine.TestCase
 
 
-def _run_planner(world: rank_world.World, planner: Planner) -> None:
+def _run_planner(
+    world: rank_world.World, planner: rank_readers.Planner
+) -> None:
     """Run a planner without faults for a fixed number of rounds and passes."""
     for _ in range(ROUNDS * SIZE):
         for order in planner.look(world):
@@ -143,7 +107,7 @@
 
 def test_new_map_is_activated_without_pausing_group() -> None:
     world = rank_world.World([rank_world.Rank() for _ in range(SIZE)])
-    _run_planner(world, Planner(10_001))
+    _run_planner(world, rank_readers.Planner(10_001))
     assert {rank.version for rank in world.ranks} == {10_001}
     assert not world.mixed_maps
     assert world.step >= ROUNDS - group_orders.STEP_MARGIN
@@ -151,13 +115,13 @@
 
 def test_successor_planner_completes_interrupted_switch() -> None:
     world = rank_world.World([rank_world.Rank() for _ in range(SIZE)])
-    planner = Planner(10_001)
+    planner = rank_readers.Planner(10_001)
     while not any(rank.armed[0] for rank in world.ranks):
         for order in planner.look(world)[:1]:
             world.carry_out(order)
         for number in range(SIZE):
             world.copy_ends(number)
-    _run_planner(world, Planner(None))
+    _run_planner(world, rank_readers.Planner(None))
     assert {rank.version for rank in world.ranks} == {10_001}
     assert not world.mixed_maps
 
--- a/tests/test_passed_on_promises.py
+++ b/tests/test_passed_on_promises.py
@@ -83,6 +83,19 @@
     await running.wait_until(lambda: running.entry.endpoints.endpoints)
 
 
+async def _add_route(
+    running: fleet_bench.FleetBench,
+    name: str,
+    kind: str,
+    service: str,
+    **overrides: object,
+) -> None:
+    """Configure a route and wait until it is in force."""
+    route = fleet_bench.route(name, kind, service, **overrides)
+    running.configure(2, Routes=[route])
+    await running.wait_until(lambda: running.entry.configuration.version == 2)
+
+
 def _check_no_promise(answer: http_messages.Response) -> None:
     """Check that an answer promises nothing and is no endpoint's."""
     assert answer.status == 502
@@ -143,12 +156,8 @@
     bench: fleet_bench.FleetBench, status: int, resumable: bool
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        route = fleet_bench.route(
-            'unsafe', 'streaming', 'engine', Resumable=resumable
-        )
-        running.configure(2, Routes=[route])
-        await running.wait_until(
-            lambda: running.entry.configuration.version == 2
+        await _add_route(
+            running, 'unsafe', 'streaming', 'engine', Resumable=resumable
         )
         engine = await running.add_endpoint('i-1', 'engine', Script(status))
         _check_no_promise(await running.call('/unsafe/'))
@@ -184,11 +193,7 @@
     bench: fleet_bench.FleetBench, status: int
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        route = fleet_bench.route('twice', 'non_idempotent', 'plain')
-        running.configure(2, Routes=[route])
-        await running.wait_until(
-            lambda: running.entry.configuration.version == 2
-        )
+        await _add_route(running, 'twice', 'non_idempotent', 'plain')
         first = await running.add_endpoint('i-1', 'plain')
         second = await running.add_endpoint('i-2', 'plain')
         # Whichever is chosen first refuses.
@@ -205,11 +210,7 @@
     bench: fleet_bench.FleetBench, status: int
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        route = fleet_bench.route('twice', 'non_idempotent', 'plain')
-        running.configure(2, Routes=[route])
-        await running.wait_until(
-            lambda: running.entry.configuration.version == 2
-        )
+        await _add_route(running, 'twice', 'non_idempotent', 'plain')
         first = await running.add_endpoint('i-1', 'plain')
         second = await running.add_endpoint('i-2', 'plain')
         first.scripts = [Script(503, not_run=True), Script(status)]
@@ -252,11 +253,7 @@
     bench: fleet_bench.FleetBench,
 ) -> None:
     async def body(running: fleet_bench.FleetBench) -> None:
-        route = fleet_bench.route('short', 'idempotent', 'plain', TimeoutMs=600)
-        running.configure(2, Routes=[route])
-        await running.wait_until(
-            lambda: running.entry.configuration.version == 2
-        )
+        await _add_route(running, 'short', 'idempotent', 'plain', TimeoutMs=600)
         busy = await running.add_endpoint('i-1', 'plain', Script(delay_s=9))
         held = [
             await curio.spawn(running.call, '/short/', f'b{number}')
