--- a/tests/test_passed_on_promises.py
+++ b/tests/test_passed_on_promises.py
@@ -11,6 +11,9 @@
 import pytest
 import raw_endpoints
 
+from camphorstair.fleet import dispatch
+from camphorstair_core import errors
+from camphorstair_core.fleet import placement, waiting
 from camphorstair_platform_standins import exchange_headers, scripted
 from camphorstair_runtime import closing, http_messages
 from camphorstair_standins import loopback
@@ -270,6 +273,35 @@
     bench.run(body)
 
 
+# Whatever refuses the repetition, such as more urgent requests that take its
+# place in the queue, can't tell that the first attempt has not run.
+@pytest.mark.parametrize('status', STATUSES)
+def test_a_repetition_that_is_refused_is_promised_nothing(
+    bench: fleet_bench.FleetBench,
+    monkeypatch: pytest.MonkeyPatch,
+    status: int,
+) -> None:
+    acquire = dispatch.Dispatcher.acquire
+    acquired: list[waiting.Waiter] = []
+
+    async def acquire_once(
+        dispatcher: dispatch.Dispatcher, service: str, waiter: waiting.Waiter
+    ) -> placement.Candidate:
+        acquired.append(waiter)
+        if len(acquired) > 1:
+            raise dispatcher.refusal(service, errors.overloaded, 'dropped')
+        return await acquire(dispatcher, service, waiter)
+
+    async def body(running: fleet_bench.FleetBench) -> None:
+        monkeypatch.setattr(dispatch.Dispatcher, 'acquire', acquire_once)
+        await running.add_endpoint('i-1', 'plain', Script(status))
+        await running.add_endpoint('i-2', 'plain', Script(status))
+        _check_no_promise(await running.call('/look/'))
+        assert len(acquired) == 2
+
+    bench.run(body)
+
+
 @pytest.mark.parametrize('status', STATUSES)
 def test_a_late_failure_on_a_kept_connection_promises_nothing(
     bench: fleet_bench.FleetBench, status: int
