--- a/packages/entry/src/camphorstair/fleet/admission.py
+++ b/packages/entry/src/camphorstair/fleet/admission.py
@@ -141,11 +141,14 @@
             been lost by the store.
         """
         configuration = self.entry.configuration
-        if configuration is not None and self.entry.informed:
-            return configuration
+        message = 'no configuration is known yet'
+        if configuration is not None:
+            if self.entry.informed:
+                return configuration
+            message = 'a later configuration may have been lost'
         raise errors.RequestError(
             errors.no_configuration,
-            'no configuration is known yet',
+            message,
             retry_after_s=dispatch.RETRY_AFTER_S,
         )
 
--- a/packages/entry/src/camphorstair/fleet/state.py
+++ b/packages/entry/src/camphorstair/fleet/state.py
@@ -140,11 +140,14 @@
         If not, a key that was revoked longer ago than the limit might still
         be accepted.
         """
-        limit_s = self.settings.bounds.revoke_s * KEY_AGE_SHARE
         return content_age.keys_current(
-            self.freshness, clocks.boottime_s(), limit_s
+            self.freshness, clocks.boottime_s(), self.key_age_limit_s()
         )
 
+    def key_age_limit_s(self) -> float:
+        """Return up to which age of the store's content keys are accepted."""
+        return self.settings.bounds.revoke_s * KEY_AGE_SHARE
+
     def caller_limits(self) -> caller_limits.CallerLimits:
         """Return the request limits of the configuration in force."""
         configuration = self.configuration
--- a/tests/test_fleet_start_after_return.py
+++ b/tests/test_fleet_start_after_return.py
@@ -21,6 +21,7 @@
     sources,
     unsettled_keys,
 )
+from camphorstair_platform import store_errors
 from camphorstair_platform_standins import documents, stores
 from camphorstair_runtime import (
     clocks,
@@ -34,6 +35,7 @@
 UNAUTHORIZED = 401
 UNAVAILABLE = 503
 PEER_KEY = 'camphorstair/members/front-1'
+REVOKE_S = documents.REVOKE_S
 
 
 @pytest.fixture
@@ -198,6 +200,47 @@
     bench.run(body)
 
 
+# An entry that had not reached the store as a key was withdrawn took the copy
+# for current as the store came back.
+@pytest.mark.parametrize('cut_s', [0.5, REVOKE_S])
+def test_an_entry_that_missed_a_withdrawal_learns_it_after_a_return(
+    bench: fleet_bench.FleetBench, cut_s: float
+) -> None:
+    async def body(running: fleet_bench.FleetBench) -> None:
+        endpoint = await running.add_endpoint('i-1', 'plain')
+        missing = await running.add_entry('front-2')
+        rows = running.store.rows
+        await running.wait_until(lambda: keys.member('front-2') in rows)
+        earlier = running.store.copy_content()
+        mirror = missing.follower.mirror
+        choose_source = mirror.choose_source
+        mirror.choose_source = lambda _failed: _unreachable
+        # A watch that waits already may still tell of the change.
+        await running.wait_until(lambda: mirror.failed)
+        others = [documents.organisation('other', 'k2')]
+        running.configure(2, Tenants=others)
+        await running.wait_until(lambda: _version(running.process) == 2)
+        await curio.sleep(cut_s)
+        running.store.come_back(earlier)
+        mirror.choose_source = choose_source
+        await running.wait_until(lambda: mirror.known.rows_era == 2)
+        if cut_s == REVOKE_S:
+            statuses = await _statuses_until_ready(running, missing)
+            assert statuses <= {UNAVAILABLE, 0}
+        await running.wait_until(lambda: _version(missing) == 2)
+        assert await _status(running, missing) == UNAUTHORIZED
+        assert not endpoint.arrivals
+
+    bench.run(body)
+
+
+async def _unreachable(_position: sources.Position) -> sources.Fetched:
+    """Fail as a source that can't be reached."""
+    raise store_errors.StoreError(
+        'cut off', possibly_applied=False, answered=False
+    )
+
+
 # An entry must start though no other one replies.
 def test_an_entry_that_is_alone_starts_within_a_bound(
     bench: fleet_bench.FleetBench,
